--- /dev/null
+++ b/libs/base/include/base/strong_string.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <compare>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace trefoil {
+
+/// A name that cannot be confused with a name of another kind. Tag only distinguishes the types.
+template<class Tag>
+class strong_string {
+public:
+    strong_string() = default;
+    explicit strong_string(std::string value) : value_(std::move(value)) {}
+
+    const std::string& str() const noexcept { return value_; }
+    bool empty() const noexcept { return value_.empty(); }
+
+    friend bool operator==(const strong_string&, const strong_string&) = default;
+    friend auto operator<=>(const strong_string&, const strong_string&) = default;
+    friend std::ostream& operator<<(std::ostream& out, const strong_string& s)
+    {
+        return out << s.value_;
+    }
+
+private:
+    std::string value_;
+};
+
+} // namespace trefoil
+
+template<class Tag>
+struct std::hash<trefoil::strong_string<Tag>> {
+    std::size_t operator()(const trefoil::strong_string<Tag>& s) const noexcept
+    {
+        return std::hash<std::string>{}(s.str());
+    }
+};
--- /dev/null
+++ b/libs/base/include/base/time.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <chrono>
+
+namespace trefoil {
+
+/// Point on the clock that only moves forward and includes the time the VM was suspended
+/// (CLOCK_BOOTTIME). All deadlines and leases are on this clock; it is never sent to another node.
+struct boot_clock {
+    using rep = std::chrono::nanoseconds::rep;
+    using period = std::chrono::nanoseconds::period;
+    using duration = std::chrono::nanoseconds;
+    using time_point = std::chrono::time_point<boot_clock>;
+    static constexpr bool is_steady = true;
+
+    /// Reads the clock. Does not fail on Linux.
+    static time_point now() noexcept;
+};
+
+using mono_time = boot_clock::time_point;
+
+/// Wall-clock time in milliseconds since the Unix epoch, as carried by request ids.
+using wall_time = std::chrono::sys_time<std::chrono::milliseconds>;
+
+/// Reads the wall clock.
+wall_time wall_now() noexcept;
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/base/src/time.cpp
@@ -0,0 +1,20 @@
+#include "base/time.h"
+
+#include <ctime>
+
+namespace trefoil {
+
+boot_clock::time_point boot_clock::now() noexcept
+{
+    timespec ts{};
+    clock_gettime(CLOCK_BOOTTIME, &ts);
+    return time_point(std::chrono::seconds(ts.tv_sec) + std::chrono::nanoseconds(ts.tv_nsec));
+}
+
+wall_time wall_now() noexcept
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/wire/src/refusal_reason.cpp
@@ -0,0 +1,41 @@
+#include "wire/refusal_reason.h"
+
+#include <array>
+#include <cstddef>
+
+namespace trefoil {
+
+namespace {
+
+/// In the order of the enumeration.
+constexpr std::array<std::string_view, 22> names = {"none",
+                                                    "malformed",
+                                                    "unknown-object",
+                                                    "no-configuration",
+                                                    "draining",
+                                                    "upstream-down",
+                                                    "upstream-shed",
+                                                    "queue-full",
+                                                    "cannot-finish",
+                                                    "deadline-passed",
+                                                    "admit-fraction",
+                                                    "retry-budget",
+                                                    "no-target",
+                                                    "not-owner",
+                                                    "no-lease",
+                                                    "ownership-uncertain",
+                                                    "already-handed-off",
+                                                    "id-expired",
+                                                    "quarantined",
+                                                    "connection-lost",
+                                                    "upstream-crashed",
+                                                    "cancelled"};
+
+} // namespace
+
+std::string_view to_string(refusal_reason r) noexcept
+{
+    return names[static_cast<std::size_t>(r)];
+}
+
+} // namespace trefoil
