--- /dev/null
+++ b/apps/load_driver/driver.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "tally.h"
+#include "workload.h"
+
+#include "call_io/connection_pool.h"
+
+#include <chrono>
+#include <random>
+#include <string>
+
+/// Sends the requests of a workload at its rates, whatever the answers are (open loop), and counts
+/// how each ended. Runs on one thread.
+class driver {
+public:
+    driver(trefoil::asio::io_context& context, workload load);
+
+    /// Starts the run; the context runs out of work when all requests have ended.
+    void start();
+
+    const tally& results() const noexcept { return tally_; }
+
+private:
+    using steady_clock = std::chrono::steady_clock;
+
+    trefoil::asio::awaitable<void> generate(flow f);
+    trefoil::asio::awaitable<void> send_request(flow f, std::string phase);
+    trefoil::asio::awaitable<trefoil::exchange_result> send_once(const flow& f,
+                                                                 const std::string& id,
+                                                                 std::uint32_t attempt,
+                                                                 steady_clock::time_point deadline);
+    verdict judge(const flow& f, const std::string& id, const trefoil::exchange_result& result,
+                  std::string& reason) const;
+    const phase* phase_at(steady_clock::time_point when) const;
+
+    trefoil::asio::io_context& context_;
+    workload load_;
+    trefoil::connection_pool pool_;
+    std::mt19937_64 random_;
+    steady_clock::time_point start_;
+    tally tally_;
+};
--- /dev/null
+++ b/apps/load_driver/tally.cpp
@@ -0,0 +1,103 @@
+#include "tally.h"
+
+#include <json/json.h>
+
+#include <algorithm>
+
+namespace {
+
+constexpr std::array<const char*, 5> verdict_names = {"complete", "not_run", "unknown",
+                                                      "wrong_answer", "failed"};
+
+double percentile(std::vector<float> values, double fraction)
+{
+    if (values.empty()) {
+        return 0.0;
+    }
+    const auto index = static_cast<std::size_t>(static_cast<double>(values.size() - 1) * fraction);
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(index),
+                     values.end());
+    return values[index];
+}
+
+Json::Value to_value(const kind_tally& t)
+{
+    Json::Value out;
+    out["offered"] = Json::UInt64{t.offered};
+    out["sends"] = Json::UInt64{t.sends};
+    for (std::size_t i = 0; i < verdict_names.size(); ++i) {
+        out[verdict_names[i]] = Json::UInt64{t.verdicts[i]};
+    }
+    for (const auto& [reason, count] : t.reasons) {
+        out["reasons"][reason] = Json::UInt64{count};
+    }
+    out["p50_ms"] = percentile(t.latencies_ms, 0.5);
+    out["p99_ms"] = percentile(t.latencies_ms, 0.99);
+    out["p999_ms"] = percentile(t.latencies_ms, 0.999);
+    return out;
+}
+
+} // namespace
+
+kind_tally& tally::entry(const std::string& phase, const std::string& kind,
+                         const std::string& group)
+{
+    return phases_[phase][kind][group];
+}
+
+void tally::add_offered(const std::string& phase, const std::string& kind, const std::string& group)
+{
+    ++entry(phase, kind, group).offered;
+}
+
+void tally::add_send(const std::string& phase, const std::string& kind, const std::string& group)
+{
+    ++entry(phase, kind, group).sends;
+}
+
+void tally::add_reason(const std::string& phase, const std::string& kind, const std::string& group,
+                       const std::string& reason)
+{
+    ++entry(phase, kind, group).reasons[reason];
+}
+
+void tally::add_verdict(const std::string& phase, const std::string& kind, const std::string& group,
+                        verdict v, std::chrono::microseconds latency, std::size_t arrival_bucket)
+{
+    auto& e = entry(phase, kind, group);
+    ++e.verdicts[static_cast<std::size_t>(v)];
+    ++all_by_bucket_[kind][arrival_bucket];
+    if (v == verdict::complete) {
+        e.latencies_ms.push_back(static_cast<float>(latency.count()) / 1000.0F);
+        ++complete_by_bucket_[kind][arrival_bucket];
+    }
+}
+
+std::string tally::to_json() const
+{
+    Json::Value out;
+    for (const auto& [phase, kinds] : phases_) {
+        for (const auto& [kind, groups] : kinds) {
+            for (const auto& [group, t] : groups) {
+                out["phases"][phase][kind][group] = to_value(t);
+            }
+        }
+    }
+    for (const auto& [kind, buckets] : all_by_bucket_) {
+        for (const auto& [index, count] : buckets) {
+            const auto complete = complete_by_bucket_.find(kind);
+            const auto found = complete == complete_by_bucket_.end() ? 0 : [&] {
+                const auto it = complete->second.find(index);
+                return it == complete->second.end() ? std::uint64_t{0} : it->second;
+            }();
+            Json::Value row(Json::arrayValue);
+            row.append(Json::UInt64{index});
+            row.append(Json::UInt64{count});
+            row.append(Json::UInt64{found});
+            out["timeline"][kind].append(row);
+        }
+    }
+    Json::StreamWriterBuilder writer;
+    writer["indentation"] = " ";
+    return Json::writeString(writer, out);
+}
--- /dev/null
+++ b/apps/load_driver/tally.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+/// How a caller's request ended, over all its sends.
+enum class verdict : std::uint8_t { complete, not_run, unknown, wrong_answer, failed };
+
+/// Counts of one kind in one phase.
+struct kind_tally {
+    std::uint64_t offered = 0;
+    std::uint64_t sends = 0;
+    std::array<std::uint64_t, 5> verdicts{};
+    std::map<std::string, std::uint64_t> reasons;
+    std::vector<float> latencies_ms;
+};
+
+/// Results of a run, by phase, kind and group, and completions by time.
+class tally {
+public:
+    static constexpr std::chrono::milliseconds bucket{100};
+
+    void add_offered(const std::string& phase, const std::string& kind, const std::string& group);
+    void add_send(const std::string& phase, const std::string& kind, const std::string& group);
+    void add_reason(const std::string& phase, const std::string& kind, const std::string& group,
+                    const std::string& reason);
+    void add_verdict(const std::string& phase, const std::string& kind, const std::string& group,
+                     verdict v, std::chrono::microseconds latency, std::size_t arrival_bucket);
+
+    std::string to_json() const;
+
+private:
+    kind_tally& entry(const std::string& phase, const std::string& kind, const std::string& group);
+
+    std::map<std::string, std::map<std::string, std::map<std::string, kind_tally>>> phases_;
+    /// Complete requests by the bucket of their arrival, for recovery times.
+    std::map<std::string, std::map<std::size_t, std::uint64_t>> complete_by_bucket_;
+    std::map<std::string, std::map<std::size_t, std::uint64_t>> all_by_bucket_;
+};
--- /dev/null
+++ b/apps/load_driver/workload.cpp
@@ -0,0 +1,71 @@
+#include "workload.h"
+
+#include "call_io/endpoint.h"
+
+#include <toml++/toml.h>
+
+namespace {
+
+flow read_flow(const toml::table& table)
+{
+    flow f;
+    f.kind = table["kind"].value_or(std::string());
+    f.group = table["group"].value_or(std::string());
+    f.service = table["service"].value_or(std::string());
+    f.rate = table["rate"].value_or(1.0);
+    f.deadline = std::chrono::milliseconds(table["deadline_ms"].value_or(std::int64_t{2000}));
+    f.expect = table["expect"].value_or(std::string());
+    f.caller_retries = table["caller_retries"].value_or(std::uint32_t{0});
+    f.once_only = table["once_only"].value_or(false);
+    if (f.kind.empty() || f.group.empty() || f.service.empty() || f.rate <= 0) {
+        throw invalid_workload("a flow needs kind, group, service and a rate above 0");
+    }
+    return f;
+}
+
+phase read_phase(const toml::table& table)
+{
+    phase p;
+    p.name = table["name"].value_or(std::string("phase"));
+    p.length = std::chrono::milliseconds(table["ms"].value_or(std::int64_t{1000}));
+    if (const auto* factors = table["multiply"].as_table()) {
+        for (const auto& [kind, factor] : *factors) {
+            p.multiply[std::string(kind.str())] = factor.value_or(1.0);
+        }
+    }
+    return p;
+}
+
+} // namespace
+
+workload load_workload(const std::string& file)
+{
+    workload w;
+    try {
+        const auto root = toml::parse_file(file);
+        w.seed = root["seed"].value_or(std::uint32_t{1});
+        w.impatient = root["impatient"].value_or(true);
+        if (const auto* entries = root["entries"].as_array()) {
+            for (const auto& entry : *entries) {
+                w.entries.push_back(trefoil::parse_endpoint(entry.value_or(std::string())));
+            }
+        }
+        if (const auto* flows = root["flow"].as_array()) {
+            for (const auto& f : *flows) {
+                w.flows.push_back(read_flow(*f.as_table()));
+            }
+        }
+        if (const auto* phases = root["phase"].as_array()) {
+            for (const auto& p : *phases) {
+                w.phases.push_back(read_phase(*p.as_table()));
+            }
+        }
+    }
+    catch (const toml::parse_error& e) {
+        throw invalid_workload(std::string(e.description()));
+    }
+    if (w.entries.empty() || w.flows.empty() || w.phases.empty()) {
+        throw invalid_workload("needs entries, at least one flow and at least one phase");
+    }
+    return w;
+}
--- /dev/null
+++ b/libs/call_io/include/call_io/call_listener.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "call_io/asio.h"
+#include "call_io/cancel_token.h"
+#include "call_io/message.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace trefoil {
+
+/// Answers one request. The token is cancelled when the peer closes the connection; the answer is
+/// then dropped. `shard` is the number of the io_context that runs the connection.
+using call_handler = std::function<asio::awaitable<call_response>(
+    call_request request, std::size_t shard, std::shared_ptr<cancel_token> cancel)>;
+
+/// Accepts connections on one port and spreads them over several io_contexts, one thread each.
+class call_listener {
+public:
+    /// Binds and listens at once. Throws boost::system::system_error if the port is not free.
+    call_listener(std::vector<asio::io_context*> shards, tcp::endpoint local, call_handler handler);
+
+    /// Starts to accept. The listener must outlive the io_contexts' threads.
+    void start();
+
+    /// Stops accepting; open connections go on, but each closes after its current answer.
+    void close();
+
+    /// The bound port, also when port 0 was asked for.
+    unsigned short port() const { return acceptor_.local_endpoint().port(); }
+
+private:
+    asio::awaitable<void> accept_loop();
+
+    std::vector<asio::io_context*> shards_;
+    tcp::acceptor acceptor_;
+    std::shared_ptr<struct listener_state> state_;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/call_io/src/call_listener.cpp
@@ -0,0 +1,197 @@
+#include "call_io/call_listener.h"
+
+#include "wire/call_headers.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <sys/socket.h>
+
+#include <atomic>
+#include <chrono>
+
+namespace trefoil {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+struct listener_state {
+    call_handler handler;
+    std::atomic<bool> closing = false;
+};
+
+namespace {
+
+/// A peer that starts a request must send all of it within this time.
+constexpr std::chrono::seconds read_timeout{10};
+constexpr std::chrono::seconds write_timeout{10};
+
+call_response error_response(http::status status, std::string_view detail)
+{
+    call_response response(status, 11);
+    response.body() = std::string(detail);
+    set_header(response, call_headers::outcome, "not-run");
+    set_header(response, call_headers::reason, "malformed");
+    response.prepare_payload();
+    response.keep_alive(false);
+    return response;
+}
+
+http::status status_of(const boost::system::error_code& error)
+{
+    if (error == http::error::header_limit) {
+        return http::status::request_header_fields_too_large;
+    }
+    return error == http::error::body_limit ? http::status::payload_too_large
+                                            : http::status::bad_request;
+}
+
+/// One accepted connection; serves its requests one after another.
+class session : public std::enable_shared_from_this<session> {
+public:
+    session(tcp::socket socket, std::size_t shard, std::shared_ptr<listener_state> state)
+        : stream_(std::move(socket)), shard_(shard), state_(std::move(state))
+    {
+    }
+
+    asio::awaitable<void> run()
+    {
+        const auto self = shared_from_this();
+        stream_.socket().set_option(tcp::no_delay(true));
+        bool keep = true;
+        while (keep) {
+            keep = co_await serve_one();
+        }
+        boost::system::error_code ignored;
+        stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    }
+
+private:
+    asio::awaitable<bool> serve_one()
+    {
+        boost::system::error_code error;
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(call_headers::max_header_bytes);
+        parser.body_limit(call_headers::max_body_bytes);
+        if (buffer_.size() == 0) {
+            stream_.expires_never();
+            co_await stream_.socket().async_wait(tcp::socket::wait_read,
+                                                 asio::redirect_error(asio::use_awaitable, error));
+        }
+        stream_.expires_after(read_timeout);
+        co_await http::async_read(stream_, buffer_, parser,
+                                  asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return co_await answer_bad_request(error);
+        }
+        auto request = parser.release();
+        const bool keep = request.keep_alive() && !state_->closing;
+        auto cancel = std::make_shared<cancel_token>();
+        watch_for_close(cancel);
+        auto response = co_await state_->handler(std::move(request), shard_, cancel);
+        if (cancel->cancelled()) {
+            co_return false;
+        }
+        stream_.socket().cancel(error);
+        response.keep_alive(keep && response.keep_alive());
+        co_return co_await write(response);
+    }
+
+    asio::awaitable<bool> answer_bad_request(boost::system::error_code error)
+    {
+        const bool is_parse_error =
+            error.category() == make_error_code(http::error::bad_method).category() &&
+            error != http::error::end_of_stream && error != http::error::partial_message;
+        if (is_parse_error) {
+            auto response = error_response(status_of(error), error.message());
+            co_await write(response);
+        }
+        co_return false;
+    }
+
+    asio::awaitable<bool> write(call_response& response)
+    {
+        boost::system::error_code error;
+        stream_.expires_after(write_timeout);
+        co_await http::async_write(stream_, response,
+                                   asio::redirect_error(asio::use_awaitable, error));
+        co_return !error && response.keep_alive();
+    }
+
+    void watch_for_close(const std::shared_ptr<cancel_token>& cancel)
+    {
+        stream_.socket().async_wait(
+            tcp::socket::wait_read, [self = shared_from_this(), cancel](auto error) {
+                char byte = 0;
+                const auto handle = self->stream_.socket().native_handle();
+                if (!error && recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0) {
+                    cancel->cancel();
+                }
+            });
+    }
+
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    std::size_t shard_;
+    std::shared_ptr<listener_state> state_;
+};
+
+} // namespace
+
+call_listener::call_listener(std::vector<asio::io_context*> shards, tcp::endpoint local,
+                             call_handler handler)
+    : shards_(std::move(shards)), acceptor_(*shards_.front()),
+      state_(std::make_shared<listener_state>())
+{
+    state_->handler = std::move(handler);
+    acceptor_.open(local.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(local);
+    acceptor_.listen(1024);
+}
+
+void call_listener::start()
+{
+    asio::co_spawn(*shards_.front(), accept_loop(), asio::detached);
+}
+
+void call_listener::close()
+{
+    state_->closing = true;
+    asio::post(*shards_.front(), [this] {
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+    });
+}
+
+asio::awaitable<void> call_listener::accept_loop()
+{
+    std::size_t next = 0;
+    while (acceptor_.is_open()) {
+        const auto shard = next++ % shards_.size();
+        boost::system::error_code error;
+        auto socket = co_await acceptor_.async_accept(
+            *shards_[shard], asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            // Out of descriptors: accepting again at once would spin.
+            asio::steady_timer pause(acceptor_.get_executor(), std::chrono::milliseconds(10));
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            continue;
+        }
+        auto connection = std::make_shared<session>(std::move(socket), shard, state_);
+        asio::co_spawn(*shards_[shard], connection->run(), asio::detached);
+    }
+}
+
+} // namespace trefoil
