Add the public headers of admission

Other libraries can be written against the interface while the bodies follow. The core does not depend on the type of the limit, so that the controller template stays a thin wrapper.

--- /dev/null
+++ b/libs/admission/include/admission/admission_core.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "admission/admission_changes.h"
+#include "admission/admission_options.h"
+#include "admission/admission_policy.h"
+#include "admission/admission_snapshot.h"
+#include "admission/admit_fractions.h"
+#include "admission/completion.h"
+#include "admission/concurrency_limit.h"
+#include "admission/fair_queue.h"
+#include "admission/flow_costs.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+namespace trefoil {
+
+/// Thrown when `finish` names a ticket that is not running.
+class unknown_ticket : public error {
+public:
+    explicit unknown_ticket(admission_ticket ticket);
+};
+
+/// The part of admission_controller that does not depend on the type of the limit. Each call takes
+/// the limit in force.
+class admission_core {
+public:
+    admission_core(admission_policy policy, std::uint64_t seed, admission_options options);
+
+    admission_ticket offer(const work_item& item, std::uint32_t limit, mono_time now,
+                           admission_changes& changes);
+    limit_sample finish(admission_ticket ticket, const completion& c, std::uint32_t limit,
+                        mono_time now);
+    void cancel(admission_ticket ticket, mono_time now);
+    admission_changes advance(std::uint32_t limit, mono_time now);
+    void replace_policy(admission_policy policy, std::uint32_t limit, mono_time now,
+                        admission_changes& changes);
+    void set_cold(mono_time now) { cold_since_ = now; }
+
+    std::optional<mono_time> next_wakeup(mono_time now) const;
+    double admit_fraction(kind_index kind, group_index group) const;
+    admission_snapshot snapshot(std::uint32_t limit, mono_time now) const;
+    const admission_policy& policy() const noexcept { return policy_; }
+
+private:
+    struct flow_id {
+        kind_index kind;
+        group_index group;
+    };
+    struct running {
+        /// None if a new policy removed the kind or group.
+        std::optional<flow_id> flow;
+        mono_time started;
+    };
+    using refusal_key = std::tuple<rank_index, group_index, refusal_reason>;
+
+    std::uint32_t effective_limit(std::uint32_t limit, mono_time now) const;
+    std::uint32_t in_flight() const { return static_cast<std::uint32_t>(running_.size()); }
+    fair_queue make_queue() const;
+    std::uint32_t& running_of(const flow_id& flow);
+    queued_item make_item(const work_item& work, mono_time now);
+    bool can_finish(const queued_item& item, std::uint32_t limit, mono_time now) const;
+    void refuse_expired(mono_time now, admission_changes& changes);
+    void start_waiting(std::uint32_t limit, mono_time now, admission_changes& changes);
+    void displace(admission_changes& changes);
+    void refuse(const queued_item& item, refusal_reason reason, admission_changes& changes);
+    void count_refusal(const work_item& work, refusal_reason reason);
+    std::chrono::milliseconds draw_retry_after(const work_item& work);
+    void end_running(const running& r);
+
+    admission_policy policy_;
+    admission_options options_;
+    std::uint64_t random_state_;
+    fair_queue queue_;
+    flow_costs costs_;
+    admit_fractions fractions_;
+    std::unordered_map<std::uint64_t, running> running_;
+    /// Running work by flow, kind-major.
+    std::vector<std::uint32_t> running_by_flow_;
+    std::vector<std::uint64_t> started_by_rank_;
+    std::map<refusal_key, std::uint64_t> refusals_;
+    std::uint64_t last_ticket_ = 0;
+    std::optional<mono_time> cold_since_;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/admission/include/admission/policy_index.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace trefoil {
+
+/// Position of an object in an admission_policy. Valid only for the policy it was looked up in.
+template<class Tag>
+struct policy_index {
+    std::uint32_t value = 0;
+
+    friend bool operator==(policy_index, policy_index) = default;
+    friend auto operator<=>(policy_index, policy_index) = default;
+};
+
+using rank_index = policy_index<struct rank_index_tag>;
+using group_index = policy_index<struct group_index_tag>;
+using kind_index = policy_index<struct kind_index_tag>;
+
+} // namespace trefoil
