--- a/libs/admission/include/admission/admission_core.h
+++ b/libs/admission/include/admission/admission_core.h
@@ -63,7 +63,7 @@
     fair_queue make_queue() const;
     std::uint32_t& running_of(const flow_id& flow);
     queued_item make_item(const work_item& work, mono_time now);
-    bool can_finish(const queued_item& item, std::uint32_t limit, mono_time now) const;
+    bool can_start_in_time(const queued_item& item, std::uint32_t limit, mono_time now) const;
     void refuse_expired(mono_time now, admission_changes& changes);
     void start_waiting(std::uint32_t limit, mono_time now, admission_changes& changes);
     void displace(admission_changes& changes);
@@ -71,6 +71,8 @@
     void count_refusal(const work_item& work, refusal_reason reason);
     std::chrono::milliseconds draw_retry_after(const work_item& work);
     void end_running(const running& r);
+    /// Takes over what `old` learned and what it runs, by the names of the objects.
+    void adopt(const admission_core& old);
 
     admission_policy policy_;
     admission_options options_;
--- a/libs/admission/include/admission/admit_fractions.h
+++ b/libs/admission/include/admission/admit_fractions.h
@@ -42,6 +42,9 @@
     /// Sets the fraction of a flow, clamped to [floor, 1]; used to carry it into a new policy.
     void set_fraction(kind_index kind, group_index group, double fraction);
 
+    /// Continues the interval of `other`.
+    void adopt_interval(const admit_fractions& other) { interval_end_ = other.interval_end_; }
+
     /// Whether a fraction is still below 1, so that `advance` has work when the interval ends.
     bool recovering() const;
     mono_time interval_end() const noexcept { return interval_end_; }
--- a/libs/admission/include/admission/fair_queue.h
+++ b/libs/admission/include/admission/fair_queue.h
@@ -53,8 +53,10 @@
     std::size_t size(rank_index rank) const { return ranks_.at(rank.value).size; }
     std::size_t bound() const noexcept { return bound_; }
 
-    /// Items that start before a new arrival of this rank would.
-    std::size_t ahead_of(rank_index rank) const;
+    /// Starts that happen before a new arrival of this flow would start. The smallest of the
+    /// estimates from the ranks served before it and from the guaranteed parts of its rank, group
+    /// and kind.
+    double starts_before(kind_index kind, group_index group) const;
 
     /// Latest start of the most pressing item; none if empty.
     std::optional<mono_time> next_expiry() const;
@@ -85,6 +87,7 @@
         decayed_use use;
         double virtual_time = 0.0;
         std::size_t size = 0;
+        double total_group_share = 0.0;
         std::vector<group_state> groups;
     };
     struct place {
--- a/libs/admission/include/admission/gradient_limit.h
+++ b/libs/admission/include/admission/gradient_limit.h
@@ -30,6 +30,7 @@
     std::uint32_t current() const noexcept { return static_cast<std::uint32_t>(limit_); }
 
 private:
+    explicit gradient_limit(gradient_options options) : options_(options) {}
     void step();
 
     gradient_options options_;
--- /dev/null
+++ b/libs/admission/src/fair_queue.cpp
@@ -0,0 +1,229 @@
+#include "admission/fair_queue.h"
+
+#include <algorithm>
+
+namespace trefoil {
+
+namespace {
+
+/// The state with waiting work and the earliest start tag; null if none waits.
+template<class States, class Size>
+auto* earliest(States& states, double virtual_time, Size size)
+{
+    typename States::value_type* best = nullptr;
+    double best_start = 0.0;
+    for (auto& s : states) {
+        const double start = std::max(virtual_time, s.tag.finish);
+        if (size(s) > 0 && (best == nullptr || start < best_start)) {
+            best = &s;
+            best_start = start;
+        }
+    }
+    return best;
+}
+
+/// Charges `cost` to the state that is served and moves the virtual time to its start tag.
+template<class State>
+void charge(State& state, double& virtual_time, double cost)
+{
+    virtual_time = std::max(virtual_time, state.tag.finish);
+    state.tag.finish = virtual_time + cost;
+}
+
+} // namespace
+
+fair_queue::fair_queue(const admission_policy& policy, std::size_t bound,
+                       std::chrono::nanoseconds share_window)
+    : bound_(bound)
+{
+    for (const auto& r : policy.ranks) {
+        total_share_ += r.share;
+        ranks_.push_back({r.share, decayed_use(share_window), 0.0, 0, 0.0, {}});
+        for (const auto& g : policy.groups) {
+            ranks_.back().groups.push_back({g.share, {}, 0.0, 0, {}});
+            ranks_.back().total_group_share += g.share;
+        }
+    }
+    for (std::uint32_t k = 0; k < policy.kinds.size(); ++k) {
+        const auto rank = policy.kinds[k].rank.value;
+        auto& groups = ranks_.at(rank).groups;
+        places_.push_back(
+            {rank, groups.empty() ? 0 : static_cast<std::uint32_t>(groups[0].kinds.size())});
+        for (auto& g : groups) {
+            g.kinds.push_back({kind_index{k}, {}, {}});
+        }
+    }
+}
+
+void fair_queue::push(const queued_item& item)
+{
+    const auto& where = places_.at(item.work.kind.value);
+    auto& rank = ranks_[where.rank];
+    auto& group = rank.groups.at(item.work.group.value);
+    group.kinds[where.kind].queue.push({item.work.depth, item.work.admit_point, item.ticket});
+    ++group.size;
+    ++rank.size;
+    by_ticket_.emplace(item.ticket, item);
+    by_latest_start_.emplace(item.latest_start, item.ticket);
+}
+
+queued_item fair_queue::take(admission_ticket ticket)
+{
+    const auto found = by_ticket_.find(ticket);
+    const queued_item item = found->second;
+    by_ticket_.erase(found);
+    by_latest_start_.erase({item.latest_start, ticket});
+    const auto& where = places_[item.work.kind.value];
+    auto& rank = ranks_[where.rank];
+    auto& group = rank.groups[item.work.group.value];
+    group.kinds[where.kind].queue.erase({item.work.depth, item.work.admit_point, ticket});
+    --group.size;
+    --rank.size;
+    return item;
+}
+
+fair_queue::rank_state* fair_queue::next_rank(mono_time now)
+{
+    double total_use = 0.0;
+    for (const auto& r : ranks_) {
+        total_use += r.share > 0.0 ? r.use.at(now) : 0.0;
+    }
+    rank_state* lowest = nullptr;
+    double lowest_ratio = 0.0;
+    for (auto& r : ranks_) {
+        if (r.size == 0 || r.share <= 0.0) {
+            continue;
+        }
+        const double use = r.use.at(now);
+        if (use * total_share_ <= total_use * r.share) {
+            return &r;
+        }
+        if (lowest == nullptr || use / r.share < lowest_ratio) {
+            lowest = &r;
+            lowest_ratio = use / r.share;
+        }
+    }
+    if (lowest != nullptr) {
+        return lowest;
+    }
+    const auto last = std::ranges::find_if(ranks_, [](const auto& r) { return r.size > 0; });
+    return last == ranks_.end() ? nullptr : &*last;
+}
+
+std::optional<queued_item> fair_queue::pop_next(mono_time now, const flow_costs& costs)
+{
+    auto* rank = next_rank(now);
+    if (rank == nullptr) {
+        return std::nullopt;
+    }
+    auto* group = earliest(rank->groups, rank->virtual_time, [](const auto& g) { return g.size; });
+    auto* kind =
+        earliest(group->kinds, group->virtual_time, [](const auto& k) { return k.queue.size(); });
+    const auto item = take(kind->queue.front().ticket);
+    const auto cost = costs.mean(item.work.kind, item.work.group);
+    const auto cost_ns = static_cast<double>(cost.count());
+    rank->use.add(cost, now);
+    charge(*group, rank->virtual_time, cost_ns / group->share);
+    charge(*kind, group->virtual_time, cost_ns);
+    return item;
+}
+
+fair_queue::rank_state* fair_queue::victim_rank()
+{
+    // Each rank with a share keeps at least one place, since a part of a short queue rounds to 0.
+    const auto part_of = [this](const rank_state& r) {
+        return std::max(1.0, static_cast<double>(bound_) * r.share / total_share_);
+    };
+    rank_state* largest = nullptr;
+    double largest_ratio = 0.0;
+    for (auto it = ranks_.rbegin(); it != ranks_.rend(); ++it) {
+        if (it->size > 0 && it->share <= 0.0) {
+            return &*it;
+        }
+    }
+    for (auto it = ranks_.rbegin(); it != ranks_.rend(); ++it) {
+        if (it->size == 0) {
+            continue;
+        }
+        const double ratio = static_cast<double>(it->size) / part_of(*it);
+        if (ratio > 1.0) {
+            return &*it;
+        }
+        if (largest == nullptr || ratio > largest_ratio) {
+            largest = &*it;
+            largest_ratio = ratio;
+        }
+    }
+    return largest;
+}
+
+std::optional<queued_item> fair_queue::pop_victim()
+{
+    auto* rank = victim_rank();
+    if (rank == nullptr) {
+        return std::nullopt;
+    }
+    const auto group = std::ranges::max_element(rank->groups, {}, [](const group_state& g) {
+        return static_cast<double>(g.size) / g.share;
+    });
+    const auto kind = std::ranges::max_element(group->kinds, {},
+                                               [](const kind_state& k) { return k.queue.size(); });
+    return take(kind->queue.victim().ticket);
+}
+
+std::optional<queued_item> fair_queue::pop_expired(mono_time now)
+{
+    if (by_latest_start_.empty() || by_latest_start_.begin()->first > now) {
+        return std::nullopt;
+    }
+    return take(by_latest_start_.begin()->second);
+}
+
+std::optional<queued_item> fair_queue::erase(admission_ticket ticket)
+{
+    if (!by_ticket_.contains(ticket)) {
+        return std::nullopt;
+    }
+    return take(ticket);
+}
+
+std::vector<queued_item> fair_queue::drain()
+{
+    std::vector<queued_item> items;
+    while (!by_ticket_.empty()) {
+        items.push_back(take(by_ticket_.begin()->first));
+    }
+    return items;
+}
+
+double fair_queue::starts_before(kind_index kind, group_index group) const
+{
+    const auto& where = places_.at(kind.value);
+    const auto& own = ranks_[where.rank];
+    const auto& own_group = own.groups.at(group.value);
+    const auto in_kind = static_cast<double>(own_group.kinds[where.kind].queue.size());
+    // Within its rank, the flow waits for its rank, or for its guaranteed part of it.
+    const double group_part = own_group.share / own.total_group_share;
+    const double kind_part = group_part / static_cast<double>(own_group.kinds.size());
+    const double in_rank =
+        std::min({static_cast<double>(own.size), static_cast<double>(own_group.size) / group_part,
+                  in_kind / kind_part});
+    double before = 0.0;
+    for (std::size_t r = 0; r < ranks_.size(); ++r) {
+        const bool earlier = ranks_[r].share > 0.0 ? own.share <= 0.0 || r < where.rank
+                                                   : own.share <= 0.0 && r < where.rank;
+        before += earlier ? static_cast<double>(ranks_[r].size) : 0.0;
+    }
+    return own.share > 0.0 ? std::min(before + in_rank, in_rank * total_share_ / own.share)
+                           : before + in_rank;
+}
+
+std::optional<mono_time> fair_queue::next_expiry() const
+{
+    if (by_latest_start_.empty()) {
+        return std::nullopt;
+    }
+    return by_latest_start_.begin()->first;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/admission/src/limit_bounds.cpp
@@ -0,0 +1,13 @@
+#include "admission/limit_bounds.h"
+
+#include <algorithm>
+
+namespace trefoil {
+
+double limit_bounds::clamp(double limit, std::uint32_t slots) const noexcept
+{
+    const double low = std::max(1.0, lowest * slots);
+    return std::clamp(limit, low, std::max(low, highest * slots));
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/admission/tests/admission_controller_property_test.cpp
@@ -0,0 +1,181 @@
+#include "admission_fixture.h"
+
+#include "admission/aimd_limit.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using namespace trefoil;
+using namespace trefoil::testing;
+
+namespace {
+
+/// Makes random calls and checks after each one that the controller kept its promises.
+struct random_calls : admission_fixture {
+    using state = ticket_book::state;
+
+    admission_options options;
+    std::uint32_t slots = *rc::gen::inRange<std::uint32_t>(1, 12);
+    admission_controller<aimd_limit> controller{make_policy(slots), 1, options};
+    ticket_book book;
+    bool browsing_overtook = false;
+    bool started_late = false;
+    bool handled_twice = false;
+    bool above_limit = false;
+    bool above_bound = false;
+
+    bool precious(admission_ticket t) { return controller.policy().at(rank_of(t)).share > 0.0; }
+    rank_index rank_of(admission_ticket t)
+    {
+        return controller.policy().at(book.at(t).work.kind).rank;
+    }
+
+    /// Whether precious work waited, or was refused for lack of room, during the last call.
+    bool precious_kept_waiting(const admission_changes& changes)
+    {
+        const auto waiting = book.with_state(state::waiting);
+        const auto displaced = [&](const refused_ticket& r) {
+            return r.reason == refusal_reason::queue_full && precious(r.ticket) &&
+                   now - book.at(r.ticket).offered < options.max_wait;
+        };
+        return std::ranges::any_of(waiting, [&](auto t) { return precious(t); }) ||
+               std::ranges::any_of(changes.refused, displaced);
+    }
+
+    void apply(const admission_changes& changes)
+    {
+        const auto running_before = book.with_state(state::running).size();
+        for (const auto t : changes.started) {
+            handled_twice |= book.at(t).now != state::waiting;
+            started_late |= now >= book.at(t).work.deadline;
+            book.at(t).now = state::running;
+        }
+        for (const auto& r : changes.refused) {
+            handled_twice |= book.at(r.ticket).now != state::waiting;
+            book.at(r.ticket).now = state::ended;
+        }
+        const bool browsing_started =
+            std::ranges::any_of(changes.started, [&](auto t) { return !precious(t); });
+        const bool browsing_waits = std::ranges::any_of(book.with_state(state::waiting),
+                                                        [&](auto t) { return !precious(t); });
+        const bool kept_waiting = precious_kept_waiting(changes);
+        browsing_overtook |= browsing_started && kept_waiting;
+        // Displaced precious work while browsing keeps its place.
+        browsing_overtook |= browsing_waits && kept_waiting &&
+                             std::ranges::none_of(book.with_state(state::waiting),
+                                                  [&](auto t) { return precious(t); });
+        const auto s = controller.snapshot(now);
+        const auto running = book.with_state(state::running).size();
+        handled_twice |= s.in_flight != running;
+        above_limit |= running > s.limit && running > running_before;
+        above_bound |= book.with_state(state::waiting).size() > std::max<std::size_t>(8, slots);
+    }
+
+    void offer()
+    {
+        const auto work = make_work(*rc::gen::inRange(0U, 6U), *rc::gen::inRange(0U, 3U),
+                                    std::chrono::milliseconds(*rc::gen::inRange(-5, 400)),
+                                    *rc::gen::inRange(0U, 4U), *rc::gen::inRange(0, 100) / 100.0);
+        const auto result = controller.offer(work, now);
+        book.add(result.ticket, work, now);
+        apply(result.changes);
+    }
+
+    void end_one(bool cancel)
+    {
+        const auto candidates = book.with_state(
+            cancel && *rc::gen::arbitrary<bool>() ? state::waiting : state::running);
+        if (candidates.empty()) {
+            return;
+        }
+        const auto t = *rc::gen::elementOf(candidates);
+        book.at(t).now = state::ended;
+        const completion c{std::chrono::milliseconds(*rc::gen::inRange(1, 60)),
+                           *rc::gen::element(completion_result::ok, completion_result::shed,
+                                             completion_result::failed)};
+        apply(cancel ? controller.cancel(t, now) : controller.finish(t, c, now));
+    }
+
+    void step()
+    {
+        switch (*rc::gen::weightedElement<int>({{10, 0}, {5, 1}, {1, 2}, {2, 3}, {1, 4}, {1, 5}})) {
+        case 0:
+            return offer();
+        case 1:
+            return end_one(false);
+        case 2:
+            return end_one(true);
+        case 3:
+            now += std::chrono::milliseconds(*rc::gen::inRange(0, 50));
+            return apply(controller.poll(now));
+        case 4:
+            slots = *rc::gen::inRange<std::uint32_t>(1, 12);
+            return apply(controller.replace_policy(make_policy(slots), now));
+        default:
+            return apply(controller.set_cold(now));
+        }
+    }
+
+    /// Lets everything end: waiting work by its latest start, running work by completion.
+    void settle()
+    {
+        while (!book.with_state(state::running).empty()) {
+            end_one(false);
+        }
+        while (!book.with_state(state::waiting).empty() && controller.next_wakeup(now)) {
+            now = std::max(now + 1ns, *controller.next_wakeup(now));
+            apply(controller.poll(now));
+            while (!book.with_state(state::running).empty()) {
+                end_one(false);
+            }
+        }
+    }
+};
+
+random_calls run_random_calls()
+{
+    random_calls run;
+    const int steps = *rc::gen::inRange(1, 150);
+    for (int i = 0; i < steps; ++i) {
+        run.step();
+    }
+    run.settle();
+    return run;
+}
+
+} // namespace
+
+// Guards against browsing that is served, or keeps its place, while precious work waits or is
+// refused.
+TEST_CASE_METHOD(admission_fixture, "admission_controller_random_calls_browsing_never_overtakes_precious_work")
+{
+    REQUIRE(rc::check([] { RC_ASSERT_FALSE(run_random_calls().browsing_overtook); }));
+}
+
+// Guards against work that is handed off when its caller no longer waits.
+TEST_CASE_METHOD(admission_fixture, "admission_controller_random_calls_no_work_starts_after_its_deadline")
+{
+    REQUIRE(rc::check([] { RC_ASSERT_FALSE(run_random_calls().started_late); }));
+}
+
+// Guards against a ticket that is started or refused twice, or never answered.
+TEST_CASE_METHOD(admission_fixture, "admission_controller_random_calls_each_ticket_ends_exactly_once")
+{
+    REQUIRE(rc::check([] {
+        const auto run = run_random_calls();
+        RC_ASSERT_FALSE(run.handled_twice);
+        RC_ASSERT(run.book.with_state(ticket_book::state::waiting).empty());
+    }));
+}
+
+// Guards against more work in the upstream than the limit, and a queue above its bound.
+TEST_CASE_METHOD(admission_fixture, "admission_controller_random_calls_limit_and_queue_bound_hold")
+{
+    REQUIRE(rc::check([] {
+        const auto run = run_random_calls();
+        RC_ASSERT_FALSE(run.above_limit);
+        RC_ASSERT_FALSE(run.above_bound);
+    }));
+}
