--- /dev/null
+++ b/libs/quarantine/include/quarantine/content_fingerprint.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "base/names.h"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace trefoil {
+
+/// Identifies the content of a request, the same at every node and for every caller's repeat.
+struct content_fingerprint {
+    std::uint64_t value = 0;
+
+    /// Sixteen hexadecimal digits, because JSON numbers do not hold 64 bits.
+    std::string to_string() const;
+
+    /// Reads the form of to_string. None if the text has another form.
+    static std::optional<content_fingerprint> parse(std::string_view text) noexcept;
+
+    friend bool operator==(content_fingerprint, content_fingerprint) = default;
+    friend auto operator<=>(content_fingerprint, content_fingerprint) = default;
+};
+
+/// Fingerprint of a request's service, path with query, and body.
+content_fingerprint fingerprint_of(const service_name& service, std::string_view path,
+                                   std::string_view body) noexcept;
+
+} // namespace trefoil
+
+template<>
+struct std::hash<trefoil::content_fingerprint> {
+    std::size_t operator()(const trefoil::content_fingerprint& f) const noexcept { return f.value; }
+};
