--- a/libs/membership/include/membership/member_view.h
+++ b/libs/membership/include/membership/member_view.h
@@ -77,7 +77,7 @@
     membership_changes apply_list(const vm_list& list, mono_time now);
 
     /// A call was sent. Ends the trial that the target was due for.
-    membership_changes call_started(const vm_name& vm, mono_time now);
+    void call_started(const vm_name& vm, mono_time now);
 
     /// A call ended. `started` is the time given to call_started; evidence of calls from before a
     /// pause is ignored.
--- a/libs/quarantine/include/quarantine/crash_suspects.h
+++ b/libs/quarantine/include/quarantine/crash_suspects.h
@@ -44,11 +44,16 @@
     crash_suspects(crash_suspects&&) = delete;
     crash_suspects& operator=(crash_suspects&&) = delete;
 
-    /// What to do with a request that arrives, or that this node would forward. Changes nothing.
-    /// For once-only work, `not_run` still needs the check of the once-only rules.
+    /// What to do with a request that arrives for the own upstream. Changes nothing. For once-only
+    /// work, `not_run` still needs the check of the once-only rules.
     crash_verdict decide(const request_id& id, content_fingerprint fingerprint,
                          mono_time now) const;
 
+    /// What to do with a call that this node would send to another target: like `decide`, but what
+    /// runs on the own upstream does not count. A call that is to run alone must not be retried.
+    crash_verdict decide_forward(const request_id& id, content_fingerprint fingerprint,
+                                 mono_time now) const;
+
     /// Decides again immediately before the hand-off to the own upstream and, unless refused,
     /// registers the request as in flight. Two suspects can pass `decide` but only one passes this.
     crash_verdict started(const request_id& id, content_fingerprint fingerprint, mono_time now);
--- /dev/null
+++ b/libs/quarantine/src/in_flight_table.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "base/request_id.h"
+#include "quarantine/content_fingerprint.h"
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace trefoil {
+
+/// The requests in flight at the own upstream. An id can be there more than once, because a caller
+/// may repeat it. Thread-safe.
+class in_flight_table {
+public:
+    using entry = std::pair<request_id, content_fingerprint>;
+
+    void add(const request_id& id, content_fingerprint fingerprint)
+    {
+        auto& s = shard_of(id);
+        const std::lock_guard lock(s.mutex);
+        s.entries.emplace(id, fingerprint);
+    }
+
+    /// Removes one occurrence. No effect if there is none, as after a crash.
+    void remove(const request_id& id, content_fingerprint fingerprint)
+    {
+        auto& s = shard_of(id);
+        const std::lock_guard lock(s.mutex);
+        const auto [first, last] = s.entries.equal_range(id);
+        const auto it =
+            std::find_if(first, last, [&](const auto& e) { return e.second == fingerprint; });
+        if (it != last) {
+            s.entries.erase(it);
+        }
+    }
+
+    /// Removes and returns everything.
+    std::vector<entry> take_all()
+    {
+        std::vector<entry> taken;
+        for (auto& s : shards_) {
+            const std::lock_guard lock(s.mutex);
+            taken.insert(taken.end(), s.entries.begin(), s.entries.end());
+            s.entries.clear();
+        }
+        return taken;
+    }
+
+    template<class Predicate>
+    bool any(Predicate matches) const
+    {
+        return std::ranges::any_of(shards_, [&](const shard& s) {
+            const std::lock_guard lock(s.mutex);
+            return std::ranges::any_of(s.entries, [&](const auto& e) { return matches(e.second); });
+        });
+    }
+
+    std::size_t size() const
+    {
+        std::size_t total = 0;
+        for (const auto& s : shards_) {
+            const std::lock_guard lock(s.mutex);
+            total += s.entries.size();
+        }
+        return total;
+    }
+
+private:
+    struct shard {
+        mutable std::mutex mutex;
+        std::unordered_multimap<request_id, content_fingerprint> entries;
+    };
+
+    shard& shard_of(const request_id& id) { return shards_[id.hash() % shards_.size()]; }
+
+    std::array<shard, 16> shards_;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/routing/src/flow_table.cpp
@@ -0,0 +1,89 @@
+#include "routing/flow_table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace trefoil {
+
+namespace {
+
+std::size_t hash_of(const kind_name& kind, const group_name& group) noexcept
+{
+    return std::hash<kind_name>{}(kind)*31 + std::hash<group_name>{}(group);
+}
+
+} // namespace
+
+std::size_t flow_table::flow_hash::operator()(const flow& f) const noexcept
+{
+    return hash_of(f.kind, f.group);
+}
+
+std::size_t flow_table::flow_hash::operator()(const flow_view& f) const noexcept
+{
+    return hash_of(f.kind, f.group);
+}
+
+bool flow_table::is_expired(const service_fraction& entry, mono_time now) const noexcept
+{
+    return now - entry.confirmed >= options_.lifetime;
+}
+
+void flow_table::record(const service_name& service, const kind_name& kind, const group_name& group,
+                        double fraction, mono_time now)
+{
+    if (std::isnan(fraction)) {
+        return;
+    }
+    const double limited = std::clamp(fraction, smallest_fraction, 1.0);
+    auto it = flows_.find(flow_view{kind, group});
+    if (it != flows_.end()) {
+        const auto entry = std::ranges::find(it->second, service, &service_fraction::service);
+        if (entry != it->second.end()) {
+            // An expired value says nothing about the present one.
+            const double weight = is_expired(*entry, now) ? 1.0 : options_.smoothing;
+            entry->fraction += weight * (limited - entry->fraction);
+            entry->confirmed = now;
+            return;
+        }
+    }
+    if (size_ >= options_.capacity) {
+        expire(now);
+        if (size_ >= options_.capacity) {
+            return;
+        }
+        it = flows_.find(flow_view{kind, group});
+    }
+    if (it == flows_.end()) {
+        it = flows_.emplace(flow{kind, group}, std::vector<service_fraction>{}).first;
+    }
+    it->second.push_back({service, limited, now});
+    ++size_;
+}
+
+double flow_table::smallest(std::span<const service_name> path, const kind_name& kind,
+                            const group_name& group, mono_time now) const
+{
+    const auto it = flows_.find(flow_view{kind, group});
+    if (it == flows_.end()) {
+        return 1.0;
+    }
+    double result = 1.0;
+    for (const auto& entry : it->second) {
+        if (entry.fraction < result && !is_expired(entry, now) &&
+            std::ranges::find(path, entry.service) != path.end()) {
+            result = entry.fraction;
+        }
+    }
+    return result;
+}
+
+void flow_table::expire(mono_time now)
+{
+    for (auto it = flows_.begin(); it != flows_.end();) {
+        size_ -= std::erase_if(it->second, [&](const auto& e) { return is_expired(e, now); });
+        it = it->second.empty() ? flows_.erase(it) : std::next(it);
+    }
+}
+
+} // namespace trefoil
