--- a/libs/objects/include/objects/call_edge.h
+++ b/libs/objects/include/objects/call_edge.h
@@ -12,6 +12,8 @@
     service_name to;
     /// Kinds that use this edge; empty: all kinds that reach `from`.
     std::vector<kind_name> kinds;
+
+    friend bool operator==(const call_edge&, const call_edge&) = default;
 };
 
 } // namespace trefoil
--- a/libs/objects/include/objects/kind.h
+++ b/libs/objects/include/objects/kind.h
@@ -21,6 +21,8 @@
     std::chrono::milliseconds deadline{2000};
     /// Retry allowance of one request over its whole call chain.
     std::uint32_t retries = 0;
+
+    friend bool operator==(const kind&, const kind&) = default;
 };
 
 } // namespace trefoil
--- a/libs/objects/include/objects/load_objects.h
+++ b/libs/objects/include/objects/load_objects.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "objects/object_location.h"
 #include "objects/object_set.h"
 #include "objects/problem.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,6 +15,12 @@
 struct load_result {
     object_set objects;
     std::vector<problem> problems;
+    /// May be empty when the set was not read from text; problems then carry no lines.
+    object_locations locations;
+    /// Size of all texts read.
+    std::size_t bytes = 0;
+    /// A text was not valid TOML, so that some objects are missing from the set.
+    bool incomplete = false;
 };
 
 /// Reads objects from TOML text and adds them to `result`. `file` only names the source in
--- a/libs/objects/include/objects/object_set.h
+++ b/libs/objects/include/objects/object_set.h
@@ -26,6 +26,13 @@
 
     /// Services that requests of this kind reach, the entry service first, each once.
     std::vector<service_name> path_of(const kind& k) const;
+
+    /// Compares the lists in their order; see canonical_order.
+    friend bool operator==(const object_set&, const object_set&) = default;
 };
 
+/// The same objects with every list sorted by name, calls by their ends, so that sets which differ
+/// only in the order of their objects become equal.
+object_set canonical_order(object_set objects);
+
 } // namespace trefoil
--- a/libs/objects/include/objects/problem.h
+++ b/libs/objects/include/objects/problem.h
@@ -2,9 +2,13 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace trefoil {
 
+/// An error refuses the set; a warning is only shown to the operator.
+enum class severity : std::uint8_t { error, warning };
+
 /// A fault in a set of objects, with what an operator needs to mend it.
 struct problem {
     std::string file;
@@ -14,6 +18,13 @@
     std::string object;
     std::string message;
     std::string remedy;
+    severity level = severity::error;
 };
 
+/// Whether any of the problems refuses the set.
+bool has_errors(const std::vector<problem>& problems);
+
+/// One line in the form of a compiler's message: `file:line: error: object: message; remedy`.
+std::string describe(const problem& p);
+
 } // namespace trefoil
--- a/libs/objects/include/objects/rank.h
+++ b/libs/objects/include/objects/rank.h
@@ -11,6 +11,8 @@
     int order = 0;
     /// Weight of the capacity this rank keeps under overload. 0: served only after all others.
     double share = 0.0;
+
+    friend bool operator==(const rank&, const rank&) = default;
 };
 
 } // namespace trefoil
--- a/libs/objects/include/objects/service.h
+++ b/libs/objects/include/objects/service.h
@@ -13,6 +13,8 @@
     std::uint32_t slots = 1;
     /// Connections that one target accepts.
     std::uint32_t connections = 1;
+
+    friend bool operator==(const service&, const service&) = default;
 };
 
 } // namespace trefoil
--- a/libs/objects/src/load_objects.cpp
+++ b/libs/objects/src/load_objects.cpp
@@ -1,114 +1,130 @@
 #include "objects/load_objects.h"
 
-#include <toml++/toml.h>
+#include "table_reader.h"
+#include "toml_text.h"
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 namespace trefoil {
 
 namespace {
 
-/// Reads the fields of one TOML table and records problems about them.
-class table_reader {
-public:
-    table_reader(const toml::table& table, std::string object, const std::string& file,
-                 std::vector<problem>& problems)
-        : table_(table), object_(std::move(object)), file_(file), problems_(problems)
-    {
-    }
-
-    std::string text(const char* key) const { return value<std::string>(key, ""); }
-    double number(const char* key, double fallback) const { return value<double>(key, fallback); }
-    bool flag(const char* key) const { return value<bool>(key, false); }
-
-    std::int64_t integer(const char* key, std::int64_t fallback) const
-    {
-        return value<std::int64_t>(key, fallback);
-    }
+constexpr std::array<std::string_view, 5> object_types = {"group", "rank", "kind", "service",
+                                                          "call"};
 
-private:
-    template<class Value>
-    Value value(const char* key, Value fallback) const
-    {
-        const toml::node* node = table_.get(key);
-        if (node == nullptr) {
-            return fallback;
+/// Reports top-level keys that are neither an array of objects nor the bundle table.
+void check_top_level(const toml::table& root, const std::string& file,
+                     std::vector<problem>& problems)
+{
+    for (const auto& [key, node] : root) {
+        const auto line = key.source().begin.line;
+        const std::string name(key.str());
+        if (name == "bundle") {
+            continue;
+        }
+        if (std::ranges::find(object_types, name) == object_types.end()) {
+            problems.push_back({file, line, name, "unknown table or key '" + name + "'",
+                                "use [[group]], [[rank]], [[kind]], [[service]] or [[call]]"});
         }
-        if (const auto found = node->value<Value>()) {
-            return *found;
+        else if (!node.is_array_of_tables()) {
+            problems.push_back({file, line, name, "'" + name + "' is not a list of tables",
+                                "write [[" + name + "]] above the fields of each object"});
         }
-        problems_.push_back({file_, node->source().begin.line, object_,
-                             std::string("field '") + key + "' has the wrong type",
-                             "use the type that the operators' guide gives for this field"});
-        return fallback;
     }
+}
 
-    const toml::table& table_;
-    std::string object_;
-    const std::string& file_;
-    std::vector<problem>& problems_;
-};
+std::string label_of(const toml::table& table, const std::string& type)
+{
+    if (type == "call") {
+        return type + ' ' + table["from"].value_or(std::string("?")) + "->" +
+               table["to"].value_or(std::string("?"));
+    }
+    return type + ' ' + table["name"].value_or(std::string("?"));
+}
 
-template<class Read>
-void for_each_table(const toml::table& root, const char* key, const std::string& file,
-                    std::vector<problem>& problems, Read read)
+template<class Object, class Read>
+void read_each(const toml::table& root, const std::string& type, const std::string& file,
+               std::vector<problem>& problems, std::vector<Object>& objects,
+               std::vector<object_location>& locations, Read read)
 {
-    const toml::array* tables = root[key].as_array();
+    const toml::array* tables = root[type].as_array();
     if (tables == nullptr) {
         return;
     }
     for (const auto& node : *tables) {
         if (const auto* table = node.as_table()) {
-            const auto name = (*table)["name"].value_or(std::string("?"));
-            read(table_reader(*table, std::string(key) + " " + name, file, problems), *table);
+            table_reader reader(*table, label_of(*table, type), file, problems);
+            objects.push_back(read(reader));
+            locations.push_back(reader.finish());
         }
     }
 }
 
+group read_group(table_reader& r)
+{
+    group g{group_name(r.text("name"))};
+    g.share = r.number("share");
+    return g;
+}
+
+rank read_rank(table_reader& r)
+{
+    rank result{rank_name(r.text("name"))};
+    result.order = static_cast<int>(r.integer("order", order_range));
+    result.share = r.number("share");
+    return result;
+}
+
+kind read_kind(table_reader& r)
+{
+    kind k;
+    k.name = kind_name(r.text("name"));
+    k.rank = rank_name(r.text("rank"));
+    k.entry = service_name(r.text("entry"));
+    k.once_only = r.flag("once_only");
+    k.repeatable = r.flag("repeatable");
+    k.deadline = std::chrono::milliseconds(r.integer("deadline_ms", any_integer));
+    k.retries = static_cast<std::uint32_t>(r.integer("retries", retries_range, true));
+    return k;
+}
+
+service read_service(table_reader& r)
+{
+    service s{service_name(r.text("name"))};
+    s.slots = static_cast<std::uint32_t>(r.integer("slots", slots_range));
+    s.connections = static_cast<std::uint32_t>(r.integer("connections", connections_range));
+    return s;
+}
+
+call_edge read_call(table_reader& r)
+{
+    call_edge edge{service_name(r.text("from")), service_name(r.text("to")), {}};
+    for (auto& name : r.names("kinds")) {
+        edge.kinds.emplace_back(std::move(name));
+    }
+    return edge;
+}
+
 } // namespace
 
+void read_objects(const toml::table& root, const std::string& file, load_result& result)
+{
+    auto& [objects, problems, locations, bytes, incomplete] = result;
+    check_top_level(root, file, problems);
+    read_each(root, "group", file, problems, objects.groups, locations.groups, read_group);
+    read_each(root, "rank", file, problems, objects.ranks, locations.ranks, read_rank);
+    read_each(root, "kind", file, problems, objects.kinds, locations.kinds, read_kind);
+    read_each(root, "service", file, problems, objects.services, locations.services, read_service);
+    read_each(root, "call", file, problems, objects.calls, locations.calls, read_call);
+}
+
 void load_objects(std::string_view toml_text, const std::string& file, load_result& result)
 {
-    toml::table root;
-    try {
-        root = toml::parse(toml_text, file);
-    }
-    catch (const toml::parse_error& e) {
-        result.problems.push_back({file, e.source().begin.line, "file",
-                                   std::string(e.description()), "write valid TOML"});
-        return;
+    if (const auto root = parse_toml(toml_text, file, result)) {
+        read_objects(*root, file, result);
     }
-    auto& problems = result.problems;
-    auto& objects = result.objects;
-    for_each_table(root, "group", file, problems, [&](const table_reader& r, const toml::table&) {
-        objects.groups.push_back({group_name(r.text("name")), r.number("share", 1.0)});
-    });
-    for_each_table(root, "rank", file, problems, [&](const table_reader& r, const toml::table&) {
-        objects.ranks.push_back({rank_name(r.text("name")), static_cast<int>(r.integer("order", 0)),
-                                 r.number("share", 0.0)});
-    });
-    for_each_table(root, "kind", file, problems, [&](const table_reader& r, const toml::table&) {
-        objects.kinds.push_back({kind_name(r.text("name")), rank_name(r.text("rank")),
-                                 service_name(r.text("entry")), r.flag("once_only"),
-                                 r.flag("repeatable"),
-                                 std::chrono::milliseconds(r.integer("deadline_ms", 2000)),
-                                 static_cast<std::uint32_t>(r.integer("retries", 0))});
-    });
-    for_each_table(root, "service", file, problems, [&](const table_reader& r, const toml::table&) {
-        objects.services.push_back({service_name(r.text("name")),
-                                    static_cast<std::uint32_t>(r.integer("slots", 1)),
-                                    static_cast<std::uint32_t>(r.integer("connections", 1))});
-    });
-    for_each_table(root, "call", file, problems,
-                   [&](const table_reader& r, const toml::table& table) {
-                       call_edge edge{service_name(r.text("from")), service_name(r.text("to")), {}};
-                       if (const auto* kinds = table["kinds"].as_array()) {
-                           for (const auto& name : *kinds) {
-                               edge.kinds.emplace_back(name.value_or(std::string()));
-                           }
-                       }
-                       objects.calls.push_back(std::move(edge));
-                   });
 }
 
 } // namespace trefoil
--- a/libs/objects/src/object_set.cpp
+++ b/libs/objects/src/object_set.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <tuple>
 
 namespace trefoil {
 
@@ -55,4 +56,18 @@
     return path;
 }
 
+object_set canonical_order(object_set objects)
+{
+    std::ranges::sort(objects.groups, {}, &group::name);
+    std::ranges::sort(objects.ranks, {}, &rank::name);
+    std::ranges::sort(objects.kinds, {}, &kind::name);
+    std::ranges::sort(objects.services, {}, &service::name);
+    for (auto& edge : objects.calls) {
+        std::ranges::sort(edge.kinds);
+    }
+    std::ranges::sort(objects.calls, {},
+                      [](const call_edge& edge) { return std::tie(edge.from, edge.to); });
+    return objects;
+}
+
 } // namespace trefoil
--- /dev/null
+++ b/libs/objects/src/problem.cpp
@@ -0,0 +1,23 @@
+#include "objects/problem.h"
+
+#include <algorithm>
+
+namespace trefoil {
+
+bool has_errors(const std::vector<problem>& problems)
+{
+    return std::ranges::any_of(problems,
+                               [](const problem& p) { return p.level == severity::error; });
+}
+
+std::string describe(const problem& p)
+{
+    std::string text = p.file;
+    if (p.line != 0) {
+        text += ':' + std::to_string(p.line);
+    }
+    text += p.level == severity::error ? ": error: " : ": warning: ";
+    return text + p.object + ": " + p.message + "; " + p.remedy;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/objects/src/table_reader.cpp
@@ -0,0 +1,148 @@
+#include "table_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace trefoil {
+
+namespace {
+
+std::string quoted(std::string_view field)
+{
+    return "field '" + std::string(field) + "'";
+}
+
+std::string joined(const std::vector<std::string>& words)
+{
+    std::string text;
+    for (const auto& word : words) {
+        text += (text.empty() ? "" : ", ") + word;
+    }
+    return text;
+}
+
+} // namespace
+
+table_reader::table_reader(const toml::table& table, std::string object, const std::string& file,
+                           std::vector<problem>& problems)
+    : table_(table), object_(std::move(object)), problems_(problems)
+{
+    location_.file = file;
+    location_.line = table.source().begin.line;
+    for (const auto& [key, node] : table) {
+        location_.field_lines.emplace(std::string(key.str()), key.source().begin.line);
+    }
+}
+
+std::string table_reader::text(std::string_view field)
+{
+    const auto* node = find(field, false);
+    if (node == nullptr) {
+        return {};
+    }
+    if (!node->is_string()) {
+        fault(field, quoted(field) + " is not a text", "write it between double quotes");
+        return {};
+    }
+    return node->value_or(std::string());
+}
+
+double table_reader::number(std::string_view field)
+{
+    const auto* node = find(field, false);
+    if (node == nullptr) {
+        return 1.0;
+    }
+    if (!node->is_number()) {
+        fault(field, quoted(field) + " is not a number", "write a number, for example 2.5");
+        return 1.0;
+    }
+    return node->value_or(1.0);
+}
+
+std::int64_t table_reader::integer(std::string_view field, integer_range range, bool optional)
+{
+    const auto* node = find(field, optional);
+    if (node == nullptr) {
+        return range.min;
+    }
+    if (!node->is_integer()) {
+        fault(field, quoted(field) + " is not a whole number",
+              "write a whole number without a fraction or quotes");
+        return range.min;
+    }
+    const auto value = node->value_or(range.min);
+    if (!range.contains(value)) {
+        fault(field, quoted(field) + " is " + std::to_string(value) + ", out of range",
+              "use a value from " + std::to_string(range.min) + " to " + std::to_string(range.max));
+        return range.min;
+    }
+    return value;
+}
+
+bool table_reader::flag(std::string_view field)
+{
+    const auto* node = find(field, true);
+    if (node == nullptr) {
+        return false;
+    }
+    if (!node->is_boolean()) {
+        fault(field, quoted(field) + " is not a truth value", "write true or false");
+        return false;
+    }
+    return node->value_or(false);
+}
+
+std::vector<std::string> table_reader::names(std::string_view field)
+{
+    const auto* node = find(field, true);
+    if (node == nullptr) {
+        return {};
+    }
+    const auto* array = node->as_array();
+    if (array == nullptr || array->empty()) {
+        fault(field, quoted(field) + " is not a list of at least one name",
+              "write a list such as [\"one\", \"two\"], or remove the field to mean all");
+        return {};
+    }
+    std::vector<std::string> found;
+    for (const auto& element : *array) {
+        if (!element.is_string()) {
+            fault(field, quoted(field) + " holds an element that is not a text",
+                  "write each name between double quotes");
+            continue;
+        }
+        found.push_back(element.value_or(std::string()));
+    }
+    return found;
+}
+
+object_location table_reader::finish()
+{
+    for (const auto& [key, line] : location_.field_lines) {
+        if (std::ranges::find(known_, key) == known_.end()) {
+            problems_.push_back({location_.file, line, object_, "unknown key '" + key + "'",
+                                 "remove it or use one of: " + joined(known_)});
+        }
+    }
+    return std::move(location_);
+}
+
+const toml::node* table_reader::find(std::string_view field, bool optional)
+{
+    known_.emplace_back(field);
+    const auto* node = table_.get(field);
+    if (node == nullptr && !optional) {
+        fault(field, quoted(field) + " is missing", "add it to this object");
+    }
+    return node;
+}
+
+void table_reader::fault(std::string_view field, std::string message, std::string remedy)
+{
+    location_.faulty_fields.emplace(field);
+    problems_.push_back(
+        {location_.file, location_.line_of(field), object_, std::move(message), std::move(remedy)});
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/objects/src/toml_text.cpp
@@ -0,0 +1,28 @@
+#include "toml_text.h"
+
+#include "objects/check_objects.h"
+
+namespace trefoil {
+
+std::optional<toml::table> parse_toml(std::string_view text, const std::string& file,
+                                      load_result& result)
+{
+    result.bytes += text.size();
+    if (text.size() > max_set_bytes) {
+        // Not parsed: reading an arbitrarily large text would use unbounded memory. The size of
+        // the whole set is reported by check_objects.
+        result.incomplete = true;
+        return std::nullopt;
+    }
+    try {
+        return toml::parse(text, file);
+    }
+    catch (const toml::parse_error& e) {
+        result.incomplete = true;
+        result.problems.push_back({file, e.source().begin.line, "file",
+                                   std::string(e.description()), "write valid TOML"});
+        return std::nullopt;
+    }
+}
+
+} // namespace trefoil
