--- a/apps/load_driver/driver.cpp
+++ b/apps/load_driver/driver.cpp
@@ -1,6 +1,7 @@
 #include "driver.h"
 
 #include "base/request_id.h"
+#include "call_io/endpoint.h"
 #include "wire/call_headers.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -9,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <set>
 
 using namespace trefoil;
 namespace http = boost::beast::http;
@@ -16,6 +18,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds impatient_pause{20};
+constexpr std::chrono::seconds readiness_timeout{40};
 
 std::string expected_answer(const flow& f, const std::string& id)
 {
@@ -38,11 +41,87 @@
 void driver::start()
 {
     start_ = steady_clock::now();
+    asio::co_spawn(context_, run_hooks(), asio::detached);
     for (const auto& f : load_.flows) {
         asio::co_spawn(context_, generate(f), asio::detached);
     }
 }
 
+void driver::start_readiness_check()
+{
+    for (const auto& entry : load_.entries) {
+        for (const auto& f : load_.flows) {
+            asio::co_spawn(context_, wait_until_served(f, entry), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> driver::wait_until_served(flow f, tcp::endpoint entry)
+{
+    ++waiting_;
+    const auto end = steady_clock::now() + readiness_timeout;
+    while (steady_clock::now() < end) {
+        const auto id = request_id::mint(wall_now(), random_).to_string();
+        const auto result = co_await send_once(f, id, 0, steady_clock::now() + f.deadline, entry);
+        std::string reason;
+        if (judge(f, id, result, reason) == verdict::complete) {
+            --waiting_;
+            co_return;
+        }
+        asio::steady_timer timer(context_, std::chrono::milliseconds(200));
+        boost::system::error_code error;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+void driver::check_records()
+{
+    asio::co_spawn(context_, compare_records(), asio::detached);
+}
+
+asio::awaitable<void> driver::run_hooks()
+{
+    auto at = start_;
+    for (const auto& p : load_.phases) {
+        asio::steady_timer timer(context_, at);
+        boost::system::error_code error;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        for (const auto& request : p.at_start) {
+            const auto slash = request.find('/');
+            co_await get(parse_endpoint(request.substr(0, slash)), request.substr(slash));
+        }
+        at += p.length;
+    }
+}
+
+asio::awaitable<std::string> driver::get(tcp::endpoint peer, std::string path)
+{
+    call_request request(http::verb::get, path, 11);
+    set_header(request, call_headers::request_id,
+               request_id::mint(wall_now(), random_).to_string());
+    request.prepare_payload();
+    cancel_token cancel;
+    const exchange_options options{.deadline = steady_clock::now() + std::chrono::seconds(5)};
+    const auto result = co_await pool_.exchange(peer, request, options, cancel);
+    co_return result.status == exchange_status::answered ? result.response.body() : std::string();
+}
+
+asio::awaitable<void> driver::compare_records()
+{
+    std::set<std::string> kinds;
+    for (const auto& f : load_.flows) {
+        if (f.once_only) {
+            kinds.insert(f.kind);
+        }
+    }
+    for (const auto& kind : kinds) {
+        for (const auto& u : load_.upstreams) {
+            const auto record = co_await get(u.address, "/stand-in/record?kind=" + kind);
+            tally_.add_record(u.service, kind, record);
+        }
+    }
+}
+
 const phase* driver::phase_at(steady_clock::time_point when) const
 {
     auto end = start_;
@@ -82,7 +161,8 @@
     auto outcome = verdict::failed;
     for (std::uint32_t attempt = 0; attempt <= f.caller_retries; ++attempt) {
         tally_.add_send(phase_name, f.kind, f.group);
-        const auto result = co_await send_once(f, id, attempt, deadline);
+        const auto entry = load_.entries[random_() % load_.entries.size()];
+        const auto result = co_await send_once(f, id, attempt, deadline, entry);
         std::string reason;
         outcome = judge(f, id, result, reason);
         if (outcome == verdict::complete || outcome == verdict::wrong_answer) {
@@ -110,7 +190,8 @@
 
 asio::awaitable<exchange_result> driver::send_once(const flow& f, const std::string& id,
                                                    std::uint32_t attempt,
-                                                   steady_clock::time_point deadline)
+                                                   steady_clock::time_point deadline,
+                                                   tcp::endpoint entry)
 {
     call_request request(http::verb::post, "/call/" + f.service + "/", 11);
     const auto left =
@@ -124,7 +205,6 @@
     request.body() = id;
     request.prepare_payload();
     cancel_token cancel;
-    const auto entry = load_.entries[random_() % load_.entries.size()];
     auto result = co_await pool_.exchange(entry, request, {.deadline = deadline}, cancel);
     co_return result;
 }
--- a/apps/load_driver/tally.cpp
+++ b/apps/load_driver/tally.cpp
@@ -3,6 +3,7 @@
 #include <json/json.h>
 
 #include <algorithm>
+#include <memory>
 
 namespace {
 
@@ -73,9 +74,32 @@
     }
 }
 
+void tally::add_record(const std::string& service, const std::string& kind, const std::string& json)
+{
+    Json::Value record;
+    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
+    if (!reader->parse(json.data(), json.data() + json.size(), &record, nullptr)) {
+        ++unread_records_;
+        return;
+    }
+    const auto& roots = record["kinds"][kind]["roots"];
+    for (const auto& root : roots.getMemberNames()) {
+        runs_[service + "/" + kind][root] += roots[root].asUInt64();
+    }
+}
+
 std::string tally::to_json() const
 {
     Json::Value out;
+    out["unread_records"] = Json::UInt64{unread_records_};
+    for (const auto& [name, roots] : runs_) {
+        Json::UInt64 repeated = 0;
+        for (const auto& [root, count] : roots) {
+            repeated += count > 1 ? 1U : 0U;
+        }
+        out["once_only"][name]["ran"] = Json::UInt64{roots.size()};
+        out["once_only"][name]["ran_twice"] = repeated;
+    }
     for (const auto& [phase, kinds] : phases_) {
         for (const auto& [kind, groups] : kinds) {
             for (const auto& [group, t] : groups) {
--- a/apps/load_driver/tally.h
+++ b/apps/load_driver/tally.h
@@ -32,6 +32,10 @@
     void add_verdict(const std::string& phase, const std::string& kind, const std::string& group,
                      verdict v, std::chrono::microseconds latency, std::size_t arrival_bucket);
 
+    /// Adds what one upstream of a service says it ran of a kind (JSON of the stand-in). Without an
+    /// answer the upstream counts as unread, since its process was replaced.
+    void add_record(const std::string& service, const std::string& kind, const std::string& json);
+
     std::string to_json() const;
 
 private:
@@ -41,4 +45,7 @@
     /// Complete requests by the bucket of their arrival, for recovery times.
     std::map<std::string, std::map<std::size_t, std::uint64_t>> complete_by_bucket_;
     std::map<std::string, std::map<std::size_t, std::uint64_t>> all_by_bucket_;
+    /// Runs by service and kind, then by root request.
+    std::map<std::string, std::map<std::string, std::uint64_t>> runs_;
+    std::uint64_t unread_records_ = 0;
 };
--- a/apps/load_driver/workload.cpp
+++ b/apps/load_driver/workload.cpp
@@ -33,9 +33,34 @@
             p.multiply[std::string(kind.str())] = factor.value_or(1.0);
         }
     }
+    if (const auto* requests = table["at_start"].as_array()) {
+        for (const auto& request : *requests) {
+            p.at_start.push_back(request.value_or(std::string()));
+        }
+    }
     return p;
 }
 
+recorded_upstream read_upstream(const toml::table& table)
+{
+    return {table["service"].value_or(std::string()),
+            trefoil::parse_endpoint(table["address"].value_or(std::string()))};
+}
+
+/// Reads each table of an array of tables; does nothing if there is none.
+template<class Item, class Read>
+void read_all(const toml::table& root, const char* key, std::vector<Item>& items, Read read)
+{
+    const auto* array = root[key].as_array();
+    for (std::size_t i = 0; array != nullptr && i < array->size(); ++i) {
+        const auto* table = array->get(i)->as_table();
+        if (table == nullptr) {
+            throw invalid_workload(std::string(key) + " is not an array of tables");
+        }
+        items.push_back(read(*table));
+    }
+}
+
 } // namespace
 
 workload load_workload(const std::string& file)
@@ -50,16 +75,9 @@
                 w.entries.push_back(trefoil::parse_endpoint(entry.value_or(std::string())));
             }
         }
-        if (const auto* flows = root["flow"].as_array()) {
-            for (const auto& f : *flows) {
-                w.flows.push_back(read_flow(*f.as_table()));
-            }
-        }
-        if (const auto* phases = root["phase"].as_array()) {
-            for (const auto& p : *phases) {
-                w.phases.push_back(read_phase(*p.as_table()));
-            }
-        }
+        read_all(root, "flow", w.flows, read_flow);
+        read_all(root, "phase", w.phases, read_phase);
+        read_all(root, "upstream", w.upstreams, read_upstream);
     }
     catch (const toml::parse_error& e) {
         throw invalid_workload(std::string(e.description()));
--- a/apps/load_driver/workload.h
+++ b/apps/load_driver/workload.h
@@ -35,6 +35,14 @@
     std::string name;
     std::chrono::milliseconds length{1000};
     std::map<std::string, double> multiply;
+    /// Requests to stand-ins at the start of the phase, for example a slowdown: `ip:port/path`.
+    std::vector<std::string> at_start;
+};
+
+/// An upstream stand-in whose record of what it ran is compared at the end.
+struct recorded_upstream {
+    std::string service;
+    trefoil::tcp::endpoint address;
 };
 
 /// A workload file: who calls what, how often, in which phases.
@@ -42,6 +50,7 @@
     std::vector<trefoil::tcp::endpoint> entries;
     std::vector<flow> flows;
     std::vector<phase> phases;
+    std::vector<recorded_upstream> upstreams;
     std::uint32_t seed = 1;
     /// Callers repeat at once; otherwise they wait as long as the answer tells them.
     bool impatient = true;
--- a/apps/stand_in_upstream/run_record.cpp
+++ b/apps/stand_in_upstream/run_record.cpp
@@ -2,7 +2,7 @@
 
 #include <json/json.h>
 
-std::string run_record::to_json(bool full) const
+std::string run_record::to_json(const std::string& detailed) const
 {
     Json::Value out;
     out["cancelled"] = Json::UInt64{cancelled_};
@@ -13,7 +13,7 @@
         for (const auto& [root, count] : roots) {
             total += count;
             repeated += count > 1 ? 1U : 0U;
-            if (full) {
+            if (kind == detailed) {
                 entry["roots"][root] = count;
             }
         }
--- a/apps/stand_in_upstream/run_record.h
+++ b/apps/stand_in_upstream/run_record.h
@@ -10,8 +10,9 @@
     void add(const std::string& kind, const std::string& root) { ++runs_[kind][root]; }
     void add_cancelled() { ++cancelled_; }
 
-    /// JSON with the number of runs, and with `full` each root request id and how often it ran.
-    std::string to_json(bool full) const;
+    /// JSON with the number of runs of each kind, and for the kind `detailed` each root request id
+    /// and how often it ran.
+    std::string to_json(const std::string& detailed) const;
 
 private:
     std::map<std::string, std::map<std::string, std::uint32_t>> runs_;
--- a/apps/stand_in_upstream/upstream.cpp
+++ b/apps/stand_in_upstream/upstream.cpp
@@ -60,6 +60,12 @@
     return std::strtod(std::string(path.substr(at + name.size() + 1)).c_str(), nullptr);
 }
 
+std::string query_text(std::string_view path, const std::string& name)
+{
+    const auto at = path.find(name + "=");
+    return at == std::string_view::npos ? "" : std::string(path.substr(at + name.size() + 1));
+}
+
 } // namespace
 
 upstream::upstream(asio::io_context& context, upstream_options options)
@@ -94,7 +100,7 @@
 {
     const std::string_view path(request.target().data(), request.target().size());
     if (path.starts_with("/stand-in/record")) {
-        return answer(request, http::status::ok, record_.to_json(query(path, "full").has_value()));
+        return answer(request, http::status::ok, record_.to_json(query_text(path, "kind")));
     }
     if (path.starts_with("/stand-in/health")) {
         const double load = static_cast<double>(slots_.in_use()) / options_.slots;
