--- /dev/null
+++ b/libs/once/include/once/lease_messages.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/names.h"
+#include "base/versions.h"
+#include "once/member_list.h"
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+namespace trefoil {
+
+/// Asks a peer to confirm a member list (`grant_lease` between nodes).
+struct grant_request {
+    list_revision revision;
+    /// member_list::digest() of the requester's list. Revisions that do not change the members of
+    /// the service have the same digest and do not interrupt leases.
+    std::uint64_t members_digest = 0;
+    std::chrono::milliseconds duration{0};
+};
+
+/// A member list that may still be in use somewhere.
+struct reported_list {
+    list_revision revision;
+    std::vector<vm_name> members;
+    /// Time since the reporter last knew the list to be in force; zero if it holds it now.
+    std::chrono::milliseconds age{0};
+};
+
+/// Answer to grant_request.
+struct grant_result {
+    bool granted = false;
+    /// False while the peer has not relearned what it needs after its start. The rest of the answer
+    /// is valid in either case.
+    bool ready = false;
+    /// Highest list revision that the peer holds.
+    list_revision revision;
+    /// Lists of the peer that are not known to be superseded. Its current list is included if its
+    /// digest differs from the requested one.
+    std::vector<reported_list> lists;
+};
+
+/// A request that the node should send now.
+struct lease_call {
+    vm_name peer;
+    grant_request request;
+};
+
+} // namespace trefoil
