--- /dev/null
+++ b/libs/spread/include/spread/exchange_message.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "base/error.h"
+#include "base/names.h"
+#include "base/versions.h"
+#include "spread/content_digest.h"
+#include "spread/message_header.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace trefoil {
+
+/// Thrown when a text is not an exchange message or exceeds a bound.
+class invalid_exchange : public error {
+public:
+    explicit invalid_exchange(const std::string& detail);
+};
+
+/// A VM that announced that it is leaving. The announcement holds for this incarnation only, so
+/// that a VM of the same name can return.
+struct leaving_vm {
+    vm_name vm;
+    std::uint64_t incarnation = 0;
+
+    friend bool operator==(const leaving_vm&, const leaving_vm&) = default;
+};
+
+/// Crashes of upstreams by requests with one content fingerprint. Times are ages, since the clocks
+/// of two nodes are never compared.
+struct crash_fingerprint {
+    std::uint64_t fingerprint = 0;
+    std::uint32_t crashes = 0;
+    /// Since the last crash.
+    std::chrono::milliseconds age{0};
+    /// Time left of the quarantine; 0: not quarantined.
+    std::chrono::milliseconds quarantined_for{0};
+
+    friend bool operator==(const crash_fingerprint&, const crash_fingerprint&) = default;
+};
+
+/// What a node tells a peer about itself and its views; both request and result of `exchange`.
+struct exchange_message {
+    /// Entries of each list in one message. A sender with more puts the newest first; the rest is
+    /// left out by to_json.
+    static constexpr std::size_t largest_list = 128;
+
+    message_header header;
+    config_version config;
+    content_digest config_digest;
+    list_revision list;
+    content_digest list_digest;
+    /// Since the last confirmed platform contact that the sender knows of; empty: none known.
+    std::optional<std::chrono::milliseconds> contact_age;
+    std::vector<leaving_vm> leaving;
+    std::vector<vm_name> suspected;
+    std::vector<crash_fingerprint> crashes;
+
+    friend bool operator==(const exchange_message&, const exchange_message&) = default;
+};
+
+/// JSON object on one line. With names within largest_name_bytes it stays below 128 KB.
+std::string to_json(const exchange_message& message);
+
+/// Reads what to_json wrote. Throws invalid_exchange; unknown fields are ignored.
+exchange_message parse_exchange(std::string_view json);
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/spread/include/spread/version_guard.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "base/time.h"
+#include "base/versions.h"
+#include "spread/content_digest.h"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace trefoil {
+
+/// Where an offered text came from.
+enum class version_source : std::uint8_t { platform, peer };
+
+/// What the guard decided about an offered text.
+enum class version_verdict : std::uint8_t {
+    accepted,
+    same,             ///< Already in force.
+    older,            ///< Lower than the version in force.
+    older_than_heard, ///< Lower than a version that a peer said it has in force.
+    wrong_digest,     ///< The text does not have the digest that was stated for it.
+    conflicting,      ///< Another text is known under the same version.
+    waiting,          ///< Starting: a peer's answer is awaited before the platform's is accepted.
+};
+
+inline constexpr std::size_t version_verdict_count = 7;
+
+/// For example `older-than-heard`; for logs and metrics.
+std::string_view to_string(version_verdict verdict) noexcept;
+
+/// `starting` until the first version is accepted.
+enum class version_state : std::uint8_t { starting, in_force };
+
+struct version_guard_options {
+    /// How long a starting node waits for a peer's answer before it accepts the platform's version.
+    std::chrono::nanoseconds peer_wait = std::chrono::seconds(5);
+    /// How long a version heard from a peer bars lower ones. A version whose holders have all gone
+    /// must not leave a starting node without any configuration.
+    std::chrono::nanoseconds heard_lifetime = std::chrono::seconds(30);
+};
+
+/// Decides which version of a published text may take effect. The version in force never decreases.
+/// Version is config_version or list_revision. Not thread-safe.
+template<class Version>
+class version_guard {
+public:
+    explicit version_guard(mono_time started, version_guard_options options = {});
+
+    /// A peer said in an exchange which version it has in force. Version 0 means none and is
+    /// ignored, since that peer is itself starting. Not for versions seen in call headers, which
+    /// any caller can set: those only give a reason to ask.
+    void peer_reported(Version version, content_digest digest, mono_time now);
+
+    /// Offers a text that has passed its own checks. `stated` is the digest that the source gave
+    /// for it (equal to `actual` if the source gives none), `actual` that of the text received.
+    /// Only `accepted` changes what is in force.
+    version_verdict offer(Version version, content_digest stated, content_digest actual,
+                          version_source source, mono_time now);
+
+    version_state state() const noexcept;
+    /// 0 while starting.
+    Version in_force() const noexcept { return in_force_; }
+    content_digest digest() const noexcept { return digest_; }
+
+    /// The highest version that is in force here or that a peer reported within heard_lifetime.
+    Version highest_known(mono_time now) const noexcept;
+
+    /// A version higher than the one in force is known, so it should be fetched.
+    bool is_behind(mono_time now) const noexcept { return highest_known(now) > in_force_; }
+
+    /// Times offer() gave this verdict; `conflicting` also counts conflicting peer reports.
+    std::uint64_t count(version_verdict verdict) const noexcept;
+
+private:
+    version_verdict judge(Version version, content_digest stated, content_digest actual,
+                          version_source source, mono_time now) const;
+
+    version_guard_options options_;
+    mono_time started_;
+    Version in_force_{};
+    content_digest digest_{};
+    Version heard_{};
+    content_digest heard_digest_{};
+    mono_time heard_at_{};
+    bool peer_answered_ = false;
+    std::array<std::uint64_t, version_verdict_count> counts_{};
+};
+
+extern template class version_guard<config_version>;
+extern template class version_guard<list_revision>;
+
+} // namespace trefoil
