--- a/libs/spread/include/spread/exchange_message.h
+++ b/libs/spread/include/spread/exchange_message.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "base/error.h"
 #include "base/names.h"
 #include "base/versions.h"
 #include "spread/content_digest.h"
+#include "spread/invalid_message.h"
 #include "spread/message_header.h"
 
 #include <chrono>
@@ -16,12 +16,6 @@
 
 namespace trefoil {
 
-/// Thrown when a text is not an exchange message or exceeds a bound.
-class invalid_exchange : public error {
-public:
-    explicit invalid_exchange(const std::string& detail);
-};
-
 /// A VM that announced that it is leaving. The announcement holds for this incarnation only, so
 /// that a VM of the same name can return.
 struct leaving_vm {
@@ -49,6 +43,8 @@
     /// Entries of each list in one message. A sender with more puts the newest first; the rest is
     /// left out by to_json.
     static constexpr std::size_t largest_list = 128;
+    /// Longer ages are sent as this one, which keeps conversions to nanoseconds in range.
+    static constexpr std::chrono::milliseconds largest_age = std::chrono::hours(24 * 30);
 
     message_header header;
     config_version config;
@@ -67,7 +63,7 @@
 /// JSON object on one line. With names within largest_name_bytes it stays below 128 KB.
 std::string to_json(const exchange_message& message);
 
-/// Reads what to_json wrote. Throws invalid_exchange; unknown fields are ignored.
+/// Reads what to_json wrote. Throws invalid_message; unknown fields are ignored.
 exchange_message parse_exchange(std::string_view json);
 
 } // namespace trefoil
--- a/libs/spread/include/spread/message_guard.h
+++ b/libs/spread/include/spread/message_guard.h
@@ -74,7 +74,7 @@
     };
 
     std::optional<message_refusal> judge(const message_header& header, std::size_t bytes);
-    static bool is_new(sender_window& sender, const message_header& header);
+    static bool accept(sender_window& sender, const message_header& header);
 
     message_guard_options options_;
     std::unordered_set<vm_name> members_;
--- a/libs/spread/include/spread/peer_picker.h
+++ b/libs/spread/include/spread/peer_picker.h
@@ -16,7 +16,7 @@
     explicit peer_picker(vm_name self) : self_(std::move(self)) {}
 
     /// Members of the accepted VM list, from any service; this node itself is left out.
-    void set_members(const spread_members& members);
+    void set_members(shared_members members);
 
     /// Distinct peers to push a change to, from as many zones as possible; fewer than `count` if
     /// there are fewer peers.
@@ -26,12 +26,9 @@
     /// unless it is the only one. Empty without peers.
     std::optional<vm_name> pull_target(random_source& random);
 
-    std::size_t peer_count() const noexcept { return peers_.size(); }
-
 private:
     vm_name self_;
-    /// Ordered by zone.
-    spread_members peers_;
+    shared_members members_;
     std::optional<availability_zone_name> last_pull_zone_;
 };
 
--- a/libs/spread/include/spread/spread_member.h
+++ b/libs/spread/include/spread/spread_member.h
@@ -2,6 +2,7 @@
 
 #include "base/names.h"
 
+#include <memory>
 #include <vector>
 
 namespace trefoil {
@@ -16,4 +17,7 @@
 
 using spread_members = std::vector<spread_member>;
 
+/// One copy for all parts of a node that use the members.
+using shared_members = std::shared_ptr<const spread_members>;
+
 } // namespace trefoil
--- a/libs/spread/include/spread/version_guard.h
+++ b/libs/spread/include/spread/version_guard.h
@@ -4,6 +4,7 @@
 #include "base/versions.h"
 #include "spread/content_digest.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstddef>
@@ -23,10 +24,13 @@
     older_than_heard, ///< Lower than a version that a peer said it has in force.
     wrong_digest,     ///< The text does not have the digest that was stated for it.
     conflicting,      ///< Another text is known under the same version.
-    waiting,          ///< Starting: a peer's answer is awaited before the platform's is accepted.
+    /// Starting: a peer's answer is awaited before the platform's is accepted. A list held back so
+    /// still serves to find the peers to ask.
+    waiting,
+    invalid, ///< Failed its own checks (see refuse).
 };
 
-inline constexpr std::size_t version_verdict_count = 7;
+inline constexpr std::size_t version_verdict_count = 8;
 
 /// For example `older-than-heard`; for logs and metrics.
 std::string_view to_string(version_verdict verdict) noexcept;
@@ -60,6 +64,9 @@
     version_verdict offer(Version version, content_digest stated, content_digest actual,
                           version_source source, mono_time now);
 
+    /// A text under this version failed its own checks, so it is neither offered nor fetched again.
+    void refuse(Version version, content_digest digest);
+
     version_state state() const noexcept;
     /// 0 while starting.
     Version in_force() const noexcept { return in_force_; }
@@ -68,8 +75,12 @@
     /// The highest version that is in force here or that a peer reported within heard_lifetime.
     Version highest_known(mono_time now) const noexcept;
 
-    /// A version higher than the one in force is known, so it should be fetched.
-    bool is_behind(mono_time now) const noexcept { return highest_known(now) > in_force_; }
+    /// A version higher than the one in force is known and was not refused, so it should be
+    /// fetched from a peer that reported it.
+    bool is_behind(mono_time now) const noexcept;
+
+    /// The version to watch the platform from: the one in force, or a higher one that was refused.
+    Version watch_after() const noexcept { return std::max(in_force_, refused_); }
 
     /// Times offer() gave this verdict; `conflicting` also counts conflicting peer reports.
     std::uint64_t count(version_verdict verdict) const noexcept;
@@ -85,6 +96,8 @@
     Version heard_{};
     content_digest heard_digest_{};
     mono_time heard_at_{};
+    Version refused_{};
+    content_digest refused_digest_{};
     bool peer_answered_ = false;
     std::array<std::uint64_t, version_verdict_count> counts_{};
 };
--- a/libs/spread/include/spread/watcher_choice.h
+++ b/libs/spread/include/spread/watcher_choice.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstddef>
 #include <optional>
+#include <vector>
 
 namespace trefoil {
 
@@ -14,13 +15,29 @@
     std::size_t watchers_per_zone = 2;
     /// A node that has heard of no confirmed platform contact for this long watches as well.
     std::chrono::nanoseconds silence = std::chrono::seconds(10);
-    /// Delay after the first failed call of a chosen watcher; doubles with each further failure.
+    /// Pause after an answered call, so that a platform that answers a watch at once is not called
+    /// in a tight loop. A change made meanwhile is answered by the next call.
+    std::chrono::nanoseconds pause = std::chrono::milliseconds(500);
+    /// Mean delay after the first failed call of a chosen watcher; doubles with each failure.
     std::chrono::nanoseconds first_retry = std::chrono::seconds(1);
-    /// Longest mean delay between calls while the platform does not answer.
+    /// Longest mean delay after a failed call; at once for nodes that are not chosen. Every delay
+    /// is drawn from 0.5 to 1.5 times its mean.
     std::chrono::nanoseconds longest_retry = std::chrono::seconds(30);
-    /// Nodes that take over spread their first calls so that all nodes together make about this
-    /// many calls per second. 2,400 nodes at one call each 30 s make 80.
+    /// Nodes that take over spread their first calls over members / this rate, at most
+    /// longest_retry. 2,400 nodes at one call each 30 s make 80.
     double takeover_calls_per_second = 80.0;
+    /// A node without a list draws its first call from this window, so that a cold start of 2,400
+    /// nodes stays below the platform's 2,000 calls/s.
+    std::chrono::nanoseconds start_window = std::chrono::seconds(2);
+};
+
+/// A planned call or pair of calls to the platform.
+struct watch_round {
+    /// In the past: at once.
+    mono_time at;
+    /// Watch configuration and list at the same time. Otherwise only one of them, each in turn, so
+    /// that a round during an outage is one call.
+    bool both = false;
 };
 
 /// Names of the chosen watchers of one availability zone, by rendezvous hash over the members.
@@ -32,8 +49,8 @@
 public:
     watcher_choice(spread_member self, mono_time started, watcher_options options = {});
 
-    /// Members of the accepted VM list. Before the first list this node is alone and thus a
-    /// watcher, unless a peer reports platform contact.
+    /// Live members of the accepted VM list, or of a list that version_guard holds back as
+    /// `waiting`. Until the first call the node watches, since it knows no peer to ask.
     void set_members(const spread_members& members);
 
     /// This node's own call was answered (304 included).
@@ -46,9 +63,9 @@
     /// One of the nodes chosen by hash.
     bool is_chosen() const noexcept { return chosen_; }
 
-    /// When this node should call the platform next; in the past or `now`: at once. Empty: not at
-    /// all. Ask again after each event and at least once a second.
-    std::optional<mono_time> next_call(mono_time now, random_source& random);
+    /// The next round of calls; empty: none for now. Ask again after each event and at least once
+    /// a second, but not while a round is in progress.
+    std::optional<watch_round> next_round(mono_time now, random_source& random);
 
     /// Age of the last confirmed contact known to this node; empty if there was none.
     std::optional<std::chrono::nanoseconds> contact_age(mono_time now) const noexcept;
@@ -60,11 +77,13 @@
     spread_member self_;
     watcher_options options_;
     mono_time started_;
-    std::size_t member_count_ = 1;
-    bool chosen_ = true;
+    /// 0: no list yet.
+    std::size_t member_count_ = 0;
+    bool chosen_ = false;
     std::optional<mono_time> last_contact_;
-    std::optional<mono_time> takeover_at_;
-    mono_time not_before_{};
+    /// First call of a node without a list or of one that takes over.
+    std::optional<mono_time> first_call_;
+    mono_time not_before_;
     std::size_t failures_ = 0;
 };
 
--- /dev/null
+++ b/libs/spread/src/version_guard.cpp
@@ -0,0 +1,125 @@
+#include "spread/version_guard.h"
+
+namespace trefoil {
+
+std::string_view to_string(version_verdict verdict) noexcept
+{
+    static constexpr std::array<std::string_view, version_verdict_count> names{
+        "accepted",     "same",        "older",   "older-than-heard",
+        "wrong-digest", "conflicting", "waiting", "invalid"};
+    return names[static_cast<std::size_t>(verdict)];
+}
+
+template<class Version>
+version_guard<Version>::version_guard(mono_time started, version_guard_options options)
+    : options_(options), started_(started)
+{
+}
+
+template<class Version>
+void version_guard<Version>::peer_reported(Version version, content_digest digest, mono_time now)
+{
+    if (version == Version{}) {
+        return;
+    }
+    peer_answered_ = true;
+    const bool differs_from_own = version == in_force_ && digest != digest_;
+    const bool differs_from_heard =
+        version == heard_ && digest != heard_digest_ && highest_known(now) == heard_;
+    if (differs_from_own || differs_from_heard) {
+        ++counts_[static_cast<std::size_t>(version_verdict::conflicting)];
+        return;
+    }
+    if (version >= highest_known(now)) {
+        heard_ = version;
+        heard_digest_ = digest;
+        heard_at_ = now;
+    }
+}
+
+template<class Version>
+version_verdict version_guard<Version>::offer(Version version, content_digest stated,
+                                              content_digest actual, version_source source,
+                                              mono_time now)
+{
+    const auto verdict = judge(version, stated, actual, source, now);
+    ++counts_[static_cast<std::size_t>(verdict)];
+    if (verdict == version_verdict::accepted) {
+        in_force_ = version;
+        digest_ = actual;
+    }
+    return verdict;
+}
+
+template<class Version>
+version_verdict version_guard<Version>::judge(Version version, content_digest stated,
+                                              content_digest actual, version_source source,
+                                              mono_time now) const
+{
+    if (version == Version{}) {
+        return version_verdict::older;
+    }
+    if (stated != actual) {
+        return version_verdict::wrong_digest;
+    }
+    if (version == in_force_) {
+        return actual == digest_ ? version_verdict::same : version_verdict::conflicting;
+    }
+    if (version < in_force_) {
+        return version_verdict::older;
+    }
+    if (version < highest_known(now)) {
+        return version_verdict::older_than_heard;
+    }
+    if (version == highest_known(now) && actual != heard_digest_) {
+        return version_verdict::conflicting;
+    }
+    const bool may_trust_platform = peer_answered_ || now - started_ >= options_.peer_wait;
+    if (state() == version_state::starting && source == version_source::platform &&
+        !may_trust_platform) {
+        return version_verdict::waiting;
+    }
+    return version_verdict::accepted;
+}
+
+template<class Version>
+void version_guard<Version>::refuse(Version version, content_digest digest)
+{
+    ++counts_[static_cast<std::size_t>(version_verdict::invalid)];
+    if (version >= refused_) {
+        refused_ = version;
+        refused_digest_ = digest;
+    }
+}
+
+template<class Version>
+bool version_guard<Version>::is_behind(mono_time now) const noexcept
+{
+    const auto highest = highest_known(now);
+    const bool was_refused = highest == refused_ && heard_digest_ == refused_digest_;
+    return highest > in_force_ && !was_refused;
+}
+
+template<class Version>
+version_state version_guard<Version>::state() const noexcept
+{
+    return in_force_ == Version{} ? version_state::starting : version_state::in_force;
+}
+
+template<class Version>
+Version version_guard<Version>::highest_known(mono_time now) const noexcept
+{
+    const bool heard_counts = now - heard_at_ < options_.heard_lifetime;
+    return heard_counts && heard_ > in_force_ ? heard_ : in_force_;
+}
+
+template<class Version>
+std::uint64_t version_guard<Version>::count(version_verdict verdict) const noexcept
+{
+    return counts_[static_cast<std::size_t>(verdict)];
+}
+
+template class version_guard<config_version>;
+template class version_guard<list_revision>;
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/spread/src/watcher_choice.cpp
@@ -0,0 +1,135 @@
+#include "spread/watcher_choice.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace trefoil {
+
+namespace {
+
+using std::chrono::nanoseconds;
+
+nanoseconds scaled(nanoseconds time, double factor)
+{
+    return nanoseconds(std::llround(static_cast<double>(time.count()) * factor));
+}
+
+nanoseconds draw_within(nanoseconds window, random_source& random)
+{
+    return scaled(window, std::uniform_real_distribution<double>(0.0, 1.0)(random));
+}
+
+nanoseconds with_jitter(nanoseconds mean, random_source& random)
+{
+    return scaled(mean, std::uniform_real_distribution<double>(0.5, 1.5)(random));
+}
+
+} // namespace
+
+std::vector<vm_name> chosen_watchers(const spread_members& members,
+                                     const availability_zone_name& zone, std::size_t count)
+{
+    std::vector<std::pair<std::uint64_t, vm_name>> ranked;
+    for (const auto& member : members) {
+        if (member.availability_zone == zone) {
+            ranked.emplace_back(hash64(member.name.str()), member.name);
+        }
+    }
+    std::ranges::sort(ranked);
+    std::vector<vm_name> chosen;
+    for (std::size_t i = 0; i < std::min(count, ranked.size()); ++i) {
+        chosen.push_back(std::move(ranked[i].second));
+    }
+    return chosen;
+}
+
+watcher_choice::watcher_choice(spread_member self, mono_time started, watcher_options options)
+    : self_(std::move(self)), options_(options), started_(started), not_before_(started)
+{
+}
+
+void watcher_choice::set_members(const spread_members& members)
+{
+    if (member_count_ == 0) {
+        first_call_.reset();
+    }
+    member_count_ = std::max<std::size_t>(members.size(), 1);
+    const auto chosen =
+        chosen_watchers(members, self_.availability_zone, options_.watchers_per_zone);
+    chosen_ = std::ranges::find(chosen, self_.name) != chosen.end();
+}
+
+void watcher_choice::call_answered(mono_time now)
+{
+    last_contact_ = now;
+    first_call_.reset();
+    failures_ = 0;
+    not_before_ = now + options_.pause;
+}
+
+void watcher_choice::call_failed(mono_time now, random_source& random)
+{
+    auto mean = options_.longest_retry;
+    if (chosen_) {
+        mean = options_.first_retry;
+        for (std::size_t i = 0; i < failures_ && mean < options_.longest_retry; ++i) {
+            mean *= 2;
+        }
+        mean = std::min(mean, options_.longest_retry);
+    }
+    ++failures_;
+    not_before_ = now + with_jitter(mean, random);
+}
+
+void watcher_choice::contact_reported(nanoseconds age, mono_time now)
+{
+    // Ages beyond a day are of no use and could overflow the subtraction.
+    if (age < nanoseconds::zero() || age > std::chrono::hours(24)) {
+        return;
+    }
+    const auto contact = now - age;
+    if (!last_contact_ || contact > *last_contact_) {
+        last_contact_ = contact;
+    }
+}
+
+std::optional<watch_round> watcher_choice::next_round(mono_time now, random_source& random)
+{
+    if (chosen_) {
+        return watch_round{not_before_, failures_ == 0};
+    }
+    const bool has_list = member_count_ != 0;
+    if (has_list && !is_silent(now)) {
+        first_call_.reset();
+        return std::nullopt;
+    }
+    if (!first_call_) {
+        first_call_ = has_list ? now + draw_within(takeover_window(), random)
+                               : started_ + draw_within(options_.start_window, random);
+    }
+    return watch_round{std::max(*first_call_, not_before_), false};
+}
+
+std::optional<nanoseconds> watcher_choice::contact_age(mono_time now) const noexcept
+{
+    if (!last_contact_) {
+        return std::nullopt;
+    }
+    return std::max(nanoseconds(now - *last_contact_), nanoseconds::zero());
+}
+
+bool watcher_choice::is_silent(mono_time now) const noexcept
+{
+    return now - last_contact_.value_or(started_) >= options_.silence;
+}
+
+nanoseconds watcher_choice::takeover_window() const noexcept
+{
+    const double seconds = static_cast<double>(member_count_) / options_.takeover_calls_per_second;
+    return std::min(scaled(std::chrono::seconds(1), seconds), options_.longest_retry);
+}
+
+} // namespace trefoil
