Combine the spread decisions per node and test them in a model fleet

The model runs spread_state, which the node daemon is meant to use unchanged, under a virtual clock with loss, delay, partitions, pauses, restarts and a platform that is down or stale.

--- a/libs/control/include/control/metrics.h
+++ b/libs/control/include/control/metrics.h
@@ -27,7 +27,7 @@
 public:
     /// Series of calls in one shard; calls beyond are counted under the labels `other`, so that
     /// memory stays bounded.
-    static constexpr std::size_t largest_series = 4096;
+    static constexpr std::size_t largest_series = 1024;
 
     metrics();
     ~metrics();
--- /dev/null
+++ b/libs/control/src/peer_message_json.cpp
@@ -0,0 +1,165 @@
+#include "peer_message_json.h"
+
+#include "spread/message_json.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+
+namespace trefoil {
+
+namespace {
+
+/// A bundle has at most 1 MB; a list of 2,400 VMs about 0.5 MB.
+constexpr std::size_t largest_text = std::size_t{1024} * 1024;
+constexpr std::size_t largest_members = 4096;
+constexpr std::size_t largest_lists = 64;
+/// Far above the lease of 2 s; keeps the conversion to nanoseconds in range.
+constexpr std::uint64_t largest_duration_ms = 60'000;
+
+} // namespace
+
+void read_json(const Json::Value& json, exchange_message& message)
+{
+    message = read_exchange(json);
+}
+
+Json::Value to_json_value(const exchange_message& message)
+{
+    Json::Value json;
+    write_exchange(message, json);
+    return json;
+}
+
+void read_json(const Json::Value& json, fetch_config_request& message)
+{
+    message.header = read_header(json);
+    message.held = {read_number(json, "held")};
+}
+
+Json::Value to_json_value(const fetch_config_request& message)
+{
+    Json::Value json;
+    write_header(message.header, json);
+    json["held"] = Json::UInt64{message.held.value};
+    return json;
+}
+
+void read_json(const Json::Value& json, fetch_config_result& message)
+{
+    message.version = {read_number(json, "version")};
+    message.digest = {read_number(json, "digest")};
+    message.text = read_text(json, "text", largest_text);
+}
+
+Json::Value to_json_value(const fetch_config_result& message)
+{
+    Json::Value json;
+    json["version"] = Json::UInt64{message.version.value};
+    json["digest"] = Json::UInt64{message.digest.value};
+    json["text"] = message.text;
+    return json;
+}
+
+void read_json(const Json::Value& json, fetch_list_request& message)
+{
+    message.header = read_header(json);
+    message.held = {read_number(json, "held")};
+}
+
+Json::Value to_json_value(const fetch_list_request& message)
+{
+    Json::Value json;
+    write_header(message.header, json);
+    json["held"] = Json::UInt64{message.held.value};
+    return json;
+}
+
+void read_json(const Json::Value& json, fetch_list_result& message)
+{
+    message.revision = {read_number(json, "revision")};
+    message.digest = {read_number(json, "digest")};
+    message.text = read_text(json, "text", largest_text);
+}
+
+Json::Value to_json_value(const fetch_list_result& message)
+{
+    Json::Value json;
+    json["revision"] = Json::UInt64{message.revision.value};
+    json["digest"] = Json::UInt64{message.digest.value};
+    json["text"] = message.text;
+    return json;
+}
+
+void read_json(const Json::Value& json, grant_lease_request& message)
+{
+    message.header = read_header(json);
+    message.service = service_name(read_text(json, "service", largest_name_bytes));
+    message.revision = {read_number(json, "revision")};
+    message.duration =
+        std::chrono::milliseconds(read_number(json, "duration_ms", largest_duration_ms));
+}
+
+Json::Value to_json_value(const grant_lease_request& message)
+{
+    Json::Value json;
+    write_header(message.header, json);
+    json["service"] = message.service.str();
+    json["revision"] = Json::UInt64{message.revision.value};
+    json["duration_ms"] = Json::Int64{message.duration.count()};
+    return json;
+}
+
+void read_json(const Json::Value& json, grant_lease_result& message)
+{
+    message.granted = read_flag(json, "granted");
+    message.revision = {read_number(json, "revision")};
+    message.lists.clear();
+    for (const auto& entry : read_array(json, "lists", largest_lists)) {
+        member_list list{{read_number(entry, "revision")}, {}};
+        for (const auto& name : read_array(entry, "members", largest_members)) {
+            if (!name.isString() || name.asString().size() > largest_name_bytes) {
+                throw invalid_message("an entry of 'members' is not a name");
+            }
+            list.members.emplace_back(name.asString());
+        }
+        message.lists.push_back(std::move(list));
+    }
+}
+
+Json::Value to_json_value(const grant_lease_result& message)
+{
+    Json::Value json;
+    json["granted"] = message.granted;
+    json["revision"] = Json::UInt64{message.revision.value};
+    json["lists"] = Json::Value(Json::arrayValue);
+    for (const auto& list : message.lists) {
+        Json::Value entry;
+        entry["revision"] = Json::UInt64{list.revision.value};
+        entry["members"] = Json::Value(Json::arrayValue);
+        for (const auto& name : list.members) {
+            entry["members"].append(name.str());
+        }
+        json["lists"].append(std::move(entry));
+    }
+    return json;
+}
+
+rpc_refusal read_refusal(const Json::Value& json)
+{
+    const auto reason = parse_message_refusal(read_text(json, "reason", largest_name_bytes));
+    if (!reason) {
+        throw invalid_message("the reason of a refusal is not known");
+    }
+    return {*reason, {read_number(json, "revision")}};
+}
+
+Json::Value to_json_value(const rpc_refusal& refusal)
+{
+    Json::Value json;
+    json["reason"] = std::string(to_string(refusal.reason));
+    json["revision"] = Json::UInt64{refusal.revision.value};
+    return json;
+}
+
+} // namespace trefoil
--- a/libs/spread/include/spread/peer_picker.h
+++ b/libs/spread/include/spread/peer_picker.h
@@ -27,8 +27,15 @@
     std::optional<vm_name> pull_target(random_source& random);
 
 private:
+    /// Indexes into members_ of the peers in one zone.
+    struct zone_peers {
+        availability_zone_name zone;
+        std::vector<std::size_t> peers;
+    };
+
     vm_name self_;
     shared_members members_;
+    std::vector<zone_peers> zones_;
     std::optional<availability_zone_name> last_pull_zone_;
 };
 
--- a/libs/spread/include/spread/watcher_choice.h
+++ b/libs/spread/include/spread/watcher_choice.h
@@ -35,8 +35,8 @@
 struct watch_round {
     /// In the past: at once.
     mono_time at;
-    /// Watch configuration and list at the same time. Otherwise only one of them, each in turn, so
-    /// that a round during an outage is one call.
+    /// Watch configuration and list at the same time. Otherwise only one of them in turn, the list
+    /// first, so that a round during an outage is one call.
     bool both = false;
 };
 
--- a/libs/spread/src/peer_picker.cpp
+++ b/libs/spread/src/peer_picker.cpp
@@ -1,79 +1,88 @@
 #include "spread/peer_picker.h"
 
 #include <algorithm>
-#include <iterator>
 #include <random>
 #include <utility>
 
 namespace trefoil {
 
-namespace {
-
-/// Draws uniformly among the members that `usable` accepts; null if there is none.
-template<class Usable>
-const spread_member* draw(const spread_members& members, random_source& random, Usable usable)
-{
-    const auto count = std::ranges::count_if(members, usable);
-    if (count == 0) {
-        return nullptr;
-    }
-    auto left = std::uniform_int_distribution<std::ptrdiff_t>(0, count - 1)(random);
-    return &*std::ranges::find_if(
-        members, [&](const spread_member& member) { return usable(member) && left-- == 0; });
-}
-
-} // namespace
-
 void peer_picker::set_members(shared_members members)
 {
     members_ = std::move(members);
+    zones_.clear();
+    for (std::size_t i = 0; members_ && i < members_->size(); ++i) {
+        const auto& member = (*members_)[i];
+        if (member.name == self_) {
+            continue;
+        }
+        auto it = std::ranges::find(zones_, member.availability_zone, &zone_peers::zone);
+        if (it == zones_.end()) {
+            it = zones_.insert(it, {member.availability_zone, {}});
+        }
+        it->peers.push_back(i);
+    }
 }
 
 std::vector<vm_name> peer_picker::push_targets(random_source& random, std::size_t count) const
 {
-    std::vector<const spread_member*> picked;
-    const auto is_fresh = [&](const spread_member& member) {
-        return member.name != self_ && std::ranges::find(picked, &member) == picked.end();
-    };
-    const auto is_in_fresh_zone = [&](const spread_member& member) {
-        return member.name != self_ &&
-               std::ranges::none_of(picked, [&](const spread_member* other) {
-                   return other->availability_zone == member.availability_zone;
-               });
-    };
-    while (members_ && picked.size() < count) {
-        const auto* next = draw(*members_, random, is_in_fresh_zone);
-        if (next == nullptr) {
-            next = draw(*members_, random, is_fresh);
+    auto left = zones_;
+    std::vector<vm_name> names;
+    std::vector<std::size_t> spare;
+    while (names.size() < count) {
+        // Once every zone has given a peer, the rest comes from all zones alike.
+        const bool has_fresh_zone = !left.empty();
+        std::size_t total = has_fresh_zone ? 0 : spare.size();
+        for (const auto& zone : left) {
+            total += zone.peers.size();
         }
-        if (next == nullptr) {
+        if (total == 0) {
             break;
         }
-        picked.push_back(next);
+        auto drawn = std::uniform_int_distribution<std::size_t>(0, total - 1)(random);
+        if (!has_fresh_zone) {
+            names.push_back((*members_)[spare[drawn]].name);
+            spare.erase(spare.begin() + static_cast<std::ptrdiff_t>(drawn));
+            continue;
+        }
+        // A peer of any zone is as likely as one of another, so that a small zone is not overrun.
+        auto zone = left.begin();
+        while (drawn >= zone->peers.size()) {
+            drawn -= zone->peers.size();
+            ++zone;
+        }
+        names.push_back((*members_)[zone->peers[drawn]].name);
+        zone->peers.erase(zone->peers.begin() + static_cast<std::ptrdiff_t>(drawn));
+        spare.insert(spare.end(), zone->peers.begin(), zone->peers.end());
+        left.erase(zone);
     }
-    std::vector<vm_name> names;
-    std::ranges::transform(picked, std::back_inserter(names),
-                           [](const spread_member* member) { return member->name; });
     return names;
 }
 
 std::optional<vm_name> peer_picker::pull_target(random_source& random)
 {
-    if (!members_) {
-        return std::nullopt;
-    }
-    const auto is_peer = [&](const spread_member& member) { return member.name != self_; };
-    const auto* picked = draw(*members_, random, [&](const spread_member& member) {
-        return is_peer(member) && member.availability_zone != last_pull_zone_;
-    });
-    if (picked == nullptr) {
-        picked = draw(*members_, random, is_peer);
+    const bool may_repeat_zone = zones_.size() == 1;
+    const auto is_usable = [&](const zone_peers& zone) {
+        return may_repeat_zone || zone.zone != last_pull_zone_;
+    };
+    std::size_t total = 0;
+    for (const auto& zone : zones_) {
+        total += is_usable(zone) ? zone.peers.size() : 0;
     }
-    if (picked == nullptr) {
+    if (total == 0) {
         return std::nullopt;
     }
-    last_pull_zone_ = picked->availability_zone;
-    return picked->name;
+    auto drawn = std::uniform_int_distribution<std::size_t>(0, total - 1)(random);
+    for (const auto& zone : zones_) {
+        if (!is_usable(zone)) {
+            continue;
+        }
+        if (drawn < zone.peers.size()) {
+            last_pull_zone_ = zone.zone;
+            return (*members_)[zone.peers[drawn]].name;
+        }
+        drawn -= zone.peers.size();
+    }
+    return std::nullopt;
 }
 
 } // namespace trefoil
--- /dev/null
+++ b/libs/spread/src/spread_state.cpp
@@ -0,0 +1,129 @@
+#include "spread/spread_state.h"
+
+#include <utility>
+
+namespace trefoil {
+
+namespace {
+
+/// The sender has the highest known version, and it is one worth fetching.
+template<class Version>
+bool should_fetch(const version_guard<Version>& guard, Version offered, mono_time now)
+{
+    return guard.is_behind(now) && offered == guard.highest_known(now);
+}
+
+} // namespace
+
+spread_state::spread_state(spread_member self, mono_time started, spread_options options)
+    : options_(options), config_(started, options.guard), list_(started, options.guard),
+      watcher_(self, started, options.watcher), picker_(std::move(self.name))
+{
+}
+
+void spread_state::set_seeds(shared_members seeds)
+{
+    picker_.set_members(std::move(seeds));
+}
+
+void spread_state::set_members(shared_members members)
+{
+    watcher_.set_members(*members);
+    picker_.set_members(std::move(members));
+}
+
+void spread_state::describe(exchange_message& message, mono_time now) const
+{
+    message.config = config_.in_force();
+    message.config_digest = config_.digest();
+    message.list = list_.in_force();
+    message.list_digest = list_.digest();
+    const auto age = watcher_.contact_age(now);
+    message.contact_age.reset();
+    if (age) {
+        // Rounded up, so that an age passed on many times never becomes younger.
+        message.contact_age = std::chrono::ceil<std::chrono::milliseconds>(*age);
+    }
+}
+
+fetch_plan spread_state::request_received(const exchange_message& request, mono_time now)
+{
+    return received(request, options_.assumed_transit, now);
+}
+
+fetch_plan spread_state::result_received(const exchange_message& result, mono_time sent,
+                                         mono_time now)
+{
+    return received(result, now - sent, now);
+}
+
+fetch_plan spread_state::received(const exchange_message& message, std::chrono::nanoseconds transit,
+                                  mono_time now)
+{
+    config_.peer_reported(message.config, message.config_digest, now);
+    list_.peer_reported(message.list, message.list_digest, now);
+    if (message.contact_age) {
+        watcher_.contact_reported(*message.contact_age + transit, now);
+    }
+    return {should_fetch(config_, message.config, now), should_fetch(list_, message.list, now)};
+}
+
+version_verdict spread_state::offer_config(config_version version, content_digest stated,
+                                           content_digest actual, version_source source,
+                                           mono_time now)
+{
+    const auto verdict = config_.offer(version, stated, actual, source, now);
+    push_due_ = push_due_ || verdict == version_verdict::accepted;
+    return verdict;
+}
+
+version_verdict spread_state::offer_list(list_revision revision, content_digest stated,
+                                         content_digest actual, version_source source,
+                                         mono_time now)
+{
+    const auto verdict = list_.offer(revision, stated, actual, source, now);
+    push_due_ = push_due_ || verdict == version_verdict::accepted;
+    return verdict;
+}
+
+void spread_state::refuse_config(config_version version, content_digest digest)
+{
+    config_.refuse(version, digest);
+}
+
+void spread_state::refuse_list(list_revision revision, content_digest digest)
+{
+    list_.refuse(revision, digest);
+}
+
+std::vector<vm_name> spread_state::take_push_targets(random_source& random)
+{
+    if (!std::exchange(push_due_, false)) {
+        return {};
+    }
+    return picker_.push_targets(random, options_.push_count);
+}
+
+std::vector<vm_name> spread_state::pull_targets(random_source& random)
+{
+    // A starting node must hear of the newest version before it trusts the platform, so one lost
+    // message or one peer that is itself behind must not decide.
+    if (is_starting()) {
+        return picker_.push_targets(random, options_.push_count);
+    }
+    const auto target = picker_.pull_target(random);
+    return target ? std::vector{*target} : std::vector<vm_name>{};
+}
+
+std::chrono::nanoseconds spread_state::pull_interval(mono_time now) const noexcept
+{
+    const bool is_hurried = is_starting() || config_.is_behind(now) || list_.is_behind(now);
+    return is_hurried ? options_.hurried_pull_interval : options_.pull_interval;
+}
+
+bool spread_state::is_starting() const noexcept
+{
+    return config_.state() == version_state::starting || list_.state() == version_state::starting;
+}
+
+} // namespace trefoil
