--- /dev/null
+++ b/libs/spread/include/spread/watcher_choice.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "base/time.h"
+#include "spread/random_source.h"
+#include "spread/spread_member.h"
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace trefoil {
+
+struct watcher_options {
+    std::size_t watchers_per_zone = 2;
+    /// A node that has heard of no confirmed platform contact for this long watches as well.
+    std::chrono::nanoseconds silence = std::chrono::seconds(10);
+    /// Pause after an answered call, so that a platform that answers a watch at once is not called
+    /// in a tight loop. A change made meanwhile is answered by the next call.
+    std::chrono::nanoseconds pause = std::chrono::milliseconds(500);
+    /// Mean delay after the first failed call of a chosen watcher; doubles with each failure.
+    std::chrono::nanoseconds first_retry = std::chrono::seconds(1);
+    /// Longest mean delay after a failed call; at once for nodes that are not chosen. Every delay
+    /// is drawn from 0.5 to 1.5 times its mean.
+    std::chrono::nanoseconds longest_retry = std::chrono::seconds(30);
+    /// Nodes that take over spread their first calls over members / this rate, at most
+    /// longest_retry. 2,400 nodes at one call each 30 s make 80.
+    double takeover_calls_per_second = 80.0;
+    /// A node without a list draws its first call from this window, so that a cold start of 2,400
+    /// nodes stays below the platform's 2,000 calls/s.
+    std::chrono::nanoseconds start_window = std::chrono::seconds(2);
+};
+
+/// A planned call or pair of calls to the platform.
+struct watch_round {
+    /// In the past: at once.
+    mono_time at;
+    /// Watch configuration and list at the same time. Otherwise only one of them in turn, the list
+    /// first, so that a round during an outage is one call.
+    bool both = false;
+};
+
+/// Names of the chosen watchers of one availability zone, by rendezvous hash over the members.
+std::vector<vm_name> chosen_watchers(const spread_members& members,
+                                     const availability_zone_name& zone, std::size_t count);
+
+/// Decides whether and when this node calls the platform. Not thread-safe.
+class watcher_choice {
+public:
+    watcher_choice(spread_member self, mono_time started, watcher_options options = {});
+
+    /// Live members of the accepted VM list, or of a list that version_guard holds back as
+    /// `waiting`. Until the first call the node watches, since it knows no peer to ask.
+    void set_members(const spread_members& members);
+
+    /// This node's own call was answered (304 included).
+    void call_answered(mono_time now);
+    /// This node's own call failed or was refused.
+    void call_failed(mono_time now, random_source& random);
+    /// A peer reported the age of the last confirmed platform contact it knows of.
+    void contact_reported(std::chrono::nanoseconds age, mono_time now);
+
+    /// One of the nodes chosen by hash.
+    bool is_chosen() const noexcept { return chosen_; }
+
+    /// The next round of calls; empty: none for now. Ask again after each event and at least once
+    /// a second, but not while a round is in progress.
+    std::optional<watch_round> next_round(mono_time now, random_source& random);
+
+    /// Age of the last confirmed contact known to this node; empty if there was none.
+    std::optional<std::chrono::nanoseconds> contact_age(mono_time now) const noexcept;
+
+private:
+    bool is_silent(mono_time now) const noexcept;
+    std::chrono::nanoseconds takeover_window() const noexcept;
+
+    spread_member self_;
+    watcher_options options_;
+    mono_time started_;
+    /// 0: no list yet.
+    std::size_t member_count_ = 0;
+    bool chosen_ = false;
+    std::optional<mono_time> last_contact_;
+    /// First call of a node without a list or of one that takes over.
+    std::optional<mono_time> first_call_;
+    mono_time not_before_;
+    std::size_t failures_ = 0;
+};
+
+} // namespace trefoil
