Add the operators' tool and refuse deep TOML keys and lax VM lists

toml++ 3.3 exhausts the stack on a key with some hundred thousand parts, so keys are limited before parsing. The VM list is read as strict JSON, and its names and addresses are checked, since they are used in headers and sockets.

--- /dev/null
+++ b/apps/trefoilhold/src/command.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "command_line.h"
+#include "exit_code.h"
+#include "output.h"
+
+#include <cstddef>
+#include <functional>
+#include <limits>
+#include <string>
+#include <vector>
+
+namespace trefoil {
+
+/// A subcommand of the tool.
+struct command {
+    std::string name;
+    /// Operands in the help text.
+    std::string operands;
+    std::string help;
+    /// --help and --json are added to these.
+    std::vector<option_spec> options;
+    std::size_t min_operands = 1;
+    std::size_t max_operands = std::numeric_limits<std::size_t>::max();
+    /// Throws failures derived from error.
+    std::function<exit_code(const command_line&, const output&)> run;
+};
+
+command check_command();
+command diff_command();
+command build_command();
+command status_command();
+command fleet_command();
+command audit_command();
+
+} // namespace trefoil
--- /dev/null
+++ b/apps/trefoilhold/src/exit_code.h
@@ -0,0 +1,18 @@
+#pragma once
+
+namespace trefoil {
+
+/// Exit status of the tool; docs/operations.md documents each. The numbers must not change, since
+/// operators' scripts depend on them.
+enum class exit_code : int {
+    success = 0,
+    invalid_objects = 1, ///< Objects or a bundle did not pass the checks.
+    usage = 2,           ///< The command line is wrong.
+    file = 3,            ///< A file cannot be read or written.
+    stale_base = 4,      ///< The base is not the expected bundle.
+    output_exists = 5,   ///< The output file exists already.
+    node = 6,            ///< A node cannot be reached or its answer cannot be read.
+    differences = 7,     ///< diff found differences.
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/apps/trefoilhold/src/fleet_command.cpp
@@ -0,0 +1,162 @@
+#include "command.h"
+#include "json_layout.h"
+#include "node_client.h"
+#include "tool_errors.h"
+
+#include <algorithm>
+#include <map>
+
+namespace trefoil {
+
+namespace {
+
+/// Nodes read at the same time: enough to hide slow ones, without a burst of connections.
+constexpr std::size_t nodes_at_once = 16;
+
+/// The answer of one node, or why there is none.
+struct node_answer {
+    std::string node;
+    web::json::value status;
+    std::string failure;
+};
+
+node_answer await(const node_client& client, const pplx::task<web::json::value>& task)
+{
+    try {
+        return {client.node(), task.get(), {}};
+    }
+    catch (const tool_error& e) {
+        return {client.node(), {}, e.what()};
+    }
+}
+
+std::vector<node_answer> read_all(const std::vector<std::string>& nodes)
+{
+    // All addresses are read first: a wrong one is a wrong command line.
+    const std::vector<node_client> clients(nodes.begin(), nodes.end());
+    std::vector<node_answer> answers;
+    answers.reserve(clients.size());
+    for (std::size_t first = 0; first < clients.size(); first += nodes_at_once) {
+        const auto last = std::min(first + nodes_at_once, clients.size());
+        std::vector<pplx::task<web::json::value>> tasks;
+        for (std::size_t i = first; i < last; ++i) {
+            tasks.push_back(clients[i].get("/status"));
+        }
+        for (std::size_t i = first; i < last; ++i) {
+            answers.push_back(await(clients[i], tasks[i - first]));
+        }
+    }
+    return answers;
+}
+
+/// The part of a status that says who the node is and what it runs with; the rest is for `status`.
+web::json::value brief(const web::json::value& status)
+{
+    auto part = web::json::value::object();
+    for (const char* name : {"node", "configuration", "lease"}) {
+        if (status.has_field(name)) {
+            part[name] = status.at(name);
+        }
+    }
+    return part;
+}
+
+std::string configuration_of(const web::json::value& status)
+{
+    if (!status.has_object_field("configuration")) {
+        return "not reported";
+    }
+    const auto& configuration = status.at("configuration");
+    const auto field = [&](const char* name) {
+        return configuration.has_field(name) ? cell_text(configuration.at(name)) : std::string("?");
+    };
+    return field("version") + ':' + field("digest");
+}
+
+std::map<std::string, std::uint64_t> count_configurations(const std::vector<node_answer>& answers)
+{
+    std::map<std::string, std::uint64_t> counts;
+    for (const auto& answer : answers) {
+        if (answer.failure.empty()) {
+            ++counts[configuration_of(answer.status)];
+        }
+    }
+    return counts;
+}
+
+void write_text(const std::vector<node_answer>& answers, const output& to)
+{
+    text_table table{{"address"}, {}};
+    for (const auto& answer : answers) {
+        if (!answer.failure.empty()) {
+            to.err << "trefoilhold: " << answer.failure << '\n';
+            continue;
+        }
+        std::vector<std::string> row{answer.node};
+        for (const auto& [name, text] : flatten(brief(answer.status))) {
+            auto it = std::ranges::find(table.header, name);
+            if (it == table.header.end()) {
+                it = table.header.insert(it, name);
+            }
+            const auto column = static_cast<std::size_t>(it - table.header.begin());
+            row.resize(std::max(row.size(), column + 1));
+            row[column] = text;
+        }
+        table.rows.push_back(std::move(row));
+    }
+    to.out << to_text(table);
+    for (const auto& [configuration, count] : count_configurations(answers)) {
+        to.out << "configuration " << configuration << " on " << count << " of " << answers.size()
+               << " nodes\n";
+    }
+}
+
+void write_json(const std::vector<node_answer>& answers, std::ostream& out)
+{
+    auto nodes = web::json::value::array(answers.size());
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        nodes[i]["address"] = web::json::value(answers[i].node);
+        if (answers[i].failure.empty()) {
+            nodes[i]["status"] = answers[i].status;
+        }
+        else {
+            nodes[i]["error"] = web::json::value(answers[i].failure);
+        }
+    }
+    auto configurations = web::json::value::object();
+    for (const auto& [configuration, count] : count_configurations(answers)) {
+        configurations[configuration] = web::json::value(count);
+    }
+    auto root = web::json::value::object();
+    root["nodes"] = nodes;
+    root["configurations"] = configurations;
+    out << root.serialize() << '\n';
+}
+
+exit_code run_fleet(const command_line& line, const output& to)
+{
+    const auto answers = read_all(line.operands());
+    if (line.has("json")) {
+        write_json(answers, to.out);
+    }
+    else {
+        write_text(answers, to);
+    }
+    const bool complete =
+        std::ranges::all_of(answers, [](const auto& answer) { return answer.failure.empty(); });
+    return complete ? exit_code::success : exit_code::node;
+}
+
+} // namespace
+
+command fleet_command()
+{
+    command c;
+    c.name = "fleet";
+    c.operands = "NODES...";
+    c.help = "Show one line for each node, and how many nodes run each configuration.";
+    c.run = run_fleet;
+    return c;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/apps/trefoilhold/src/problem_output.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "objects/problem.h"
+#include "output.h"
+
+#include <vector>
+
+namespace trefoil {
+
+/// Writes problems as lines to `err`, or as a JSON object {"ok", "problems"} to `out`.
+void write_problems(const std::vector<problem>& problems, bool json, const output& to);
+
+} // namespace trefoil
--- a/libs/objects/src/check_names.cpp
+++ b/libs/objects/src/check_names.cpp
@@ -1,5 +1,5 @@
 #include "check_rules.h"
-#include "value_ranges.h"
+#include "objects/name_rule.h"
 
 #include <algorithm>
 #include <map>
@@ -9,18 +9,6 @@
 
 namespace {
 
-bool is_alphanumeric(char c)
-{
-    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
-}
-
-bool is_valid_name(const std::string& name)
-{
-    return !name.empty() && name.size() <= max_name_length && is_alphanumeric(name.front()) &&
-           std::ranges::all_of(
-               name, [](char c) { return is_alphanumeric(c) || c == '_' || c == '-' || c == '.'; });
-}
-
 template<class Object>
 void check_list(const std::string& type, const std::vector<Object>& objects,
                 const std::vector<object_location>& locations, problem_list& problems)
@@ -29,10 +17,11 @@
     for (std::size_t i = 0; i < objects.size(); ++i) {
         const auto& at = location_at(locations, i);
         const auto& name = objects[i].name.str();
-        const auto label = type + ' ' + name;
         if (at.faulty("name")) {
             continue;
         }
+        std::string label = type;
+        label.append(1, ' ').append(name);
         if (!is_valid_name(name)) {
             problems.add(at, "name", label, "the name cannot stand in a request header",
                          "use 1 to " + std::to_string(max_name_length) +
--- a/libs/objects/src/diff_objects.cpp
+++ b/libs/objects/src/diff_objects.cpp
@@ -73,6 +73,7 @@
         }
     }
     std::vector<object_change> ordered;
+    ordered.reserve(changes.size());
     for (auto& [key, change] : changes) {
         ordered.push_back(std::move(change));
     }
--- a/libs/objects/src/problem.cpp
+++ b/libs/objects/src/problem.cpp
@@ -17,7 +17,11 @@
         text += ':' + std::to_string(p.line);
     }
     text += p.level == severity::error ? ": error: " : ": warning: ";
-    return text + p.object + ": " + p.message + "; " + p.remedy;
+    text += p.object + ": " + p.message + "; " + p.remedy;
+    // Names in a faulty file may hold line breaks or terminal control sequences.
+    std::ranges::replace_if(
+        text, [](char c) { return static_cast<unsigned char>(c) < 0x20 || c == 0x7f; }, '?');
+    return text;
 }
 
 } // namespace trefoil
--- a/libs/objects/src/toml_text.cpp
+++ b/libs/objects/src/toml_text.cpp
@@ -1,6 +1,7 @@
 #include "toml_text.h"
 
 #include "objects/check_objects.h"
+#include "toml_nesting.h"
 
 namespace trefoil {
 
@@ -14,6 +15,12 @@
         result.incomplete = true;
         return std::nullopt;
     }
+    if (const auto line = find_deep_key(text)) {
+        result.incomplete = true;
+        result.problems.push_back({file, *line, "file", "a key has too many parts",
+                                   "write the fields of an object without dots"});
+        return std::nullopt;
+    }
     try {
         return toml::parse(text, file);
     }
--- a/libs/objects/src/value_ranges.h
+++ b/libs/objects/src/value_ranges.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstddef>
 #include <cstdint>
 #include <limits>
 
@@ -29,7 +28,4 @@
 /// Versions stay below 2^53, so that JSON readers which use doubles keep them exact.
 inline constexpr integer_range version_range{1, 1'000'000'000'000'000};
 
-/// Names stand in request headers, in paths, and in `service=fraction` lists.
-inline constexpr std::size_t max_name_length = 64;
-
 } // namespace trefoil
--- a/libs/wire/include/wire/vm_list.h
+++ b/libs/wire/include/wire/vm_list.h
@@ -4,6 +4,7 @@
 #include "base/names.h"
 #include "base/versions.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -11,6 +12,9 @@
 
 namespace trefoil {
 
+/// Largest text of a VM list, in bytes: the platform's limit for one value.
+inline constexpr std::size_t max_vm_list_bytes = 1'000'000;
+
 /// Thrown when the text of a VM list cannot be read.
 class invalid_vm_list : public error {
 public:
@@ -45,7 +49,8 @@
     std::vector<vm_entry> of_service(const service_name& name) const;
 };
 
-/// Reads the JSON form. Throws invalid_vm_list.
+/// Reads the JSON form; unknown fields are skipped. Throws invalid_vm_list, and no other failure on
+/// bad input.
 vm_list parse_vm_list(std::string_view json);
 
 /// Writes the JSON form.
--- a/libs/wire/src/refusal_reason.cpp
+++ b/libs/wire/src/refusal_reason.cpp
@@ -31,6 +31,9 @@
                                                     "upstream-crashed",
                                                     "cancelled"};
 
+static_assert(names.size() == static_cast<std::size_t>(refusal_reason::cancelled) + 1,
+              "each reason needs its text");
+
 } // namespace
 
 std::string_view to_string(refusal_reason r) noexcept
--- a/libs/wire/src/vm_list.cpp
+++ b/libs/wire/src/vm_list.cpp
@@ -1,8 +1,12 @@
 #include "wire/vm_list.h"
 
+#include "objects/name_rule.h"
+
+#include <arpa/inet.h>
 #include <json/json.h>
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 #include <limits>
 #include <memory>
@@ -12,6 +16,25 @@
 
 namespace {
 
+/// Reads one strict JSON document: a truncated or doubled document must not pass for a list.
+Json::Value parse_json(std::string_view json)
+{
+    Json::CharReaderBuilder builder;
+    Json::CharReaderBuilder::strictMode(&builder.settings_);
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    Json::Value root;
+    std::string errors;
+    try {
+        if (!reader->parse(json.data(), json.data() + json.size(), &root, &errors)) {
+            throw invalid_vm_list(errors);
+        }
+    }
+    catch (const Json::Exception& e) {
+        throw invalid_vm_list(e.what());
+    }
+    return root;
+}
+
 std::string text_field(const Json::Value& vm, const char* key)
 {
     if (!vm[key].isString() || vm[key].asString().empty()) {
@@ -20,6 +43,28 @@
     return vm[key].asString();
 }
 
+std::string name_field(const Json::Value& vm, const char* key)
+{
+    auto name = text_field(vm, key);
+    if (!is_valid_name(name)) {
+        throw invalid_vm_list(std::string("field '") + key + "' cannot stand in a header");
+    }
+    return name;
+}
+
+std::string address_field(const Json::Value& vm)
+{
+    auto address = text_field(vm, "address");
+    std::array<unsigned char, sizeof(in6_addr)> parsed{};
+    // inet_pton reads up to the first NUL byte.
+    if (address.find('\0') != std::string::npos ||
+        (inet_pton(AF_INET, address.c_str(), parsed.data()) != 1 &&
+         inet_pton(AF_INET6, address.c_str(), parsed.data()) != 1)) {
+        throw invalid_vm_list("field 'address' is not an IP address");
+    }
+    return address;
+}
+
 std::uint16_t port_field(const Json::Value& vm, const char* key)
 {
     if (!vm[key].isUInt() || vm[key].asUInt() == 0 ||
@@ -38,7 +83,7 @@
     if (state == "leaving") {
         return vm_state::leaving;
     }
-    throw invalid_vm_list("state '" + state + "' is neither live nor leaving");
+    throw invalid_vm_list("field 'state' is neither live nor leaving");
 }
 
 vm_entry parse_vm(const Json::Value& vm)
@@ -46,10 +91,10 @@
     if (!vm.isObject()) {
         throw invalid_vm_list("an entry is not an object");
     }
-    return {vm_name(text_field(vm, "vm")),
-            availability_zone_name(text_field(vm, "availability_zone")),
-            service_name(text_field(vm, "service")),
-            text_field(vm, "address"),
+    return {vm_name(name_field(vm, "vm")),
+            availability_zone_name(name_field(vm, "availability_zone")),
+            service_name(name_field(vm, "service")),
+            address_field(vm),
             port_field(vm, "call_port"),
             port_field(vm, "control_port"),
             state_field(vm)};
@@ -75,17 +120,11 @@
 
 vm_list parse_vm_list(std::string_view json)
 {
-    Json::Value root;
-    std::string errors;
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    try {
-        if (!reader->parse(json.data(), json.data() + json.size(), &root, &errors)) {
-            throw invalid_vm_list(errors);
-        }
-    }
-    catch (const Json::Exception& e) {
-        throw invalid_vm_list(e.what());
+    if (json.size() > max_vm_list_bytes) {
+        throw invalid_vm_list(std::to_string(json.size()) + " bytes, above " +
+                              std::to_string(max_vm_list_bytes));
     }
+    const Json::Value root = parse_json(json);
     if (!root.isObject() || !root["revision"].isUInt64() || !root["vms"].isArray()) {
         throw invalid_vm_list("needs a number 'revision' and an array 'vms'");
     }
