--- a/libs/control/include/control/audit_trail.h
+++ b/libs/control/include/control/audit_trail.h
@@ -17,12 +17,12 @@
     std::uint64_t number = 0;
     wall_time time{};
     /// Kind of change, for example `config_accepted`.
-    std::string what;
+    std::string what = {};
     /// What changed, for example a VM or an object.
-    std::string subject;
-    std::string from;
-    std::string to;
-    std::string why;
+    std::string subject = {};
+    std::string from = {};
+    std::string to = {};
+    std::string why = {};
 };
 
 /// The newest changes of state on this node; each is also one log line. Thread-safe.
--- a/libs/control/include/control/control_server.h
+++ b/libs/control/include/control/control_server.h
@@ -22,13 +22,13 @@
 /// threads. An exception from a handler becomes status 500.
 struct control_handlers {
     /// `POST /rpc`: body of the request, returns the body of the answer (see rpc_server::handle).
-    std::function<std::string(const std::string& body)> rpc;
+    std::function<std::string(const std::string& body)> rpc = {};
     /// `GET /metrics`: text form.
-    std::function<std::string()> metrics;
+    std::function<std::string()> metrics = {};
     /// `GET /status`: JSON.
-    std::function<std::string()> status;
+    std::function<std::string()> status = {};
     /// `GET /audit?after=N`: JSON of the entries with a higher number than N (default 0).
-    std::function<std::string(std::uint64_t after)> audit;
+    std::function<std::string(std::uint64_t after)> audit = {};
 };
 
 struct control_server_options {
--- a/libs/control/include/control/rpc_server.h
+++ b/libs/control/include/control/rpc_server.h
@@ -25,13 +25,13 @@
     /// Called first for every message, with the size of its body (see message_guard). Empty: the
     /// message may be acted on.
     std::function<std::optional<rpc_refusal>(const message_header& header, std::size_t bytes)>
-        admit;
+        admit = {};
     /// Called for each message that cannot be parsed.
-    std::function<void()> malformed;
-    std::function<exchange_message(const exchange_message&)> exchange;
-    std::function<fetch_config_result(const fetch_config_request&)> fetch_config;
-    std::function<fetch_list_result(const fetch_list_request&)> fetch_list;
-    std::function<grant_lease_result(const grant_lease_request&)> grant_lease;
+    std::function<void()> malformed = {};
+    std::function<exchange_message(const exchange_message&)> exchange = {};
+    std::function<fetch_config_result(const fetch_config_request&)> fetch_config = {};
+    std::function<fetch_list_result(const fetch_list_request&)> fetch_list = {};
+    std::function<grant_lease_result(const grant_lease_request&)> grant_lease = {};
 };
 
 /// Decodes JSON-RPC 2.0 requests and calls the handlers. Batches and notifications are refused.
--- a/libs/spread/include/spread/exchange_message.h
+++ b/libs/spread/include/spread/exchange_message.h
@@ -46,16 +46,16 @@
     /// Longer ages are sent as this one, which keeps conversions to nanoseconds in range.
     static constexpr std::chrono::milliseconds largest_age = std::chrono::hours(24 * 30);
 
-    message_header header;
-    config_version config;
-    content_digest config_digest;
-    list_revision list;
-    content_digest list_digest;
+    message_header header = {};
+    config_version config = {};
+    content_digest config_digest = {};
+    list_revision list = {};
+    content_digest list_digest = {};
     /// Since the last confirmed platform contact that the sender knows of; empty: none known.
-    std::optional<std::chrono::milliseconds> contact_age;
-    std::vector<leaving_vm> leaving;
-    std::vector<vm_name> suspected;
-    std::vector<crash_fingerprint> crashes;
+    std::optional<std::chrono::milliseconds> contact_age = {};
+    std::vector<leaving_vm> leaving = {};
+    std::vector<vm_name> suspected = {};
+    std::vector<crash_fingerprint> crashes = {};
 
     friend bool operator==(const exchange_message&, const exchange_message&) = default;
 };
