Add the node: call path, peer exchange, leases and platform watch

The grant messages of control carry the types of the once library, because a lease needs the digest of the member list and the age of older lists.

--- a/libs/control/include/control/peer_messages.h
+++ b/libs/control/include/control/peer_messages.h
@@ -2,12 +2,11 @@
 
 #include "base/names.h"
 #include "base/versions.h"
+#include "once/lease_messages.h"
 #include "spread/content_digest.h"
 #include "spread/message_header.h"
 
-#include <chrono>
 #include <string>
-#include <vector>
 
 namespace trefoil {
 
@@ -42,24 +41,11 @@
 struct grant_lease_request {
     message_header header;
     service_name service;
-    list_revision revision;
-    std::chrono::milliseconds duration{0};
-};
-
-/// A service's members under one list revision.
-struct member_list {
-    list_revision revision;
-    std::vector<vm_name> members;
-
-    friend bool operator==(const member_list&, const member_list&) = default;
+    grant_request grant;
 };
 
 struct grant_lease_result {
-    bool granted = false;
-    /// Revision in force at the receiver.
-    list_revision revision;
-    /// Every list of the service that the receiver held within the last 30 s.
-    std::vector<member_list> lists;
+    grant_result grant;
 };
 
 } // namespace trefoil
--- a/libs/control/src/peer_message_json.cpp
+++ b/libs/control/src/peer_message_json.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t largest_lists = 64;
 /// Far above the lease of 2 s; keeps the conversion to nanoseconds in range.
 constexpr std::uint64_t largest_duration_ms = 60'000;
+/// Older lists are no longer of interest; keeps the conversion to nanoseconds in range.
+constexpr std::uint64_t largest_age_ms = 86'400'000;
 
 } // namespace
 
@@ -95,8 +97,9 @@
 {
     message.header = read_header(json);
     message.service = service_name(read_text(json, "service", largest_name_bytes));
-    message.revision = {read_number(json, "revision")};
-    message.duration =
+    message.grant.revision = {read_number(json, "revision")};
+    message.grant.members_digest = read_number(json, "members_digest");
+    message.grant.duration =
         std::chrono::milliseconds(read_number(json, "duration_ms", largest_duration_ms));
 }
 
@@ -105,37 +108,42 @@
     Json::Value json;
     write_header(message.header, json);
     json["service"] = message.service.str();
-    json["revision"] = Json::UInt64{message.revision.value};
-    json["duration_ms"] = Json::Int64{message.duration.count()};
+    json["revision"] = Json::UInt64{message.grant.revision.value};
+    json["members_digest"] = Json::UInt64{message.grant.members_digest};
+    json["duration_ms"] = Json::Int64{message.grant.duration.count()};
     return json;
 }
 
 void read_json(const Json::Value& json, grant_lease_result& message)
 {
-    message.granted = read_flag(json, "granted");
-    message.revision = {read_number(json, "revision")};
-    message.lists.clear();
+    message.grant.granted = read_flag(json, "granted");
+    message.grant.ready = read_flag(json, "ready");
+    message.grant.revision = {read_number(json, "revision")};
+    message.grant.lists.clear();
     for (const auto& entry : read_array(json, "lists", largest_lists)) {
-        member_list list{{read_number(entry, "revision")}, {}};
+        reported_list list{{read_number(entry, "revision")}, {}, {}};
+        list.age = std::chrono::milliseconds(read_number(entry, "age_ms", largest_age_ms));
         for (const auto& name : read_array(entry, "members", largest_members)) {
             if (!name.isString() || name.asString().size() > largest_name_bytes) {
                 throw invalid_message("an entry of 'members' is not a name");
             }
             list.members.emplace_back(name.asString());
         }
-        message.lists.push_back(std::move(list));
+        message.grant.lists.push_back(std::move(list));
     }
 }
 
 Json::Value to_json_value(const grant_lease_result& message)
 {
     Json::Value json;
-    json["granted"] = message.granted;
-    json["revision"] = Json::UInt64{message.revision.value};
+    json["granted"] = message.grant.granted;
+    json["ready"] = message.grant.ready;
+    json["revision"] = Json::UInt64{message.grant.revision.value};
     json["lists"] = Json::Value(Json::arrayValue);
-    for (const auto& list : message.lists) {
+    for (const auto& list : message.grant.lists) {
         Json::Value entry;
         entry["revision"] = Json::UInt64{list.revision.value};
+        entry["age_ms"] = Json::Int64{list.age.count()};
         entry["members"] = Json::Value(Json::arrayValue);
         for (const auto& name : list.members) {
             entry["members"].append(name.str());
--- a/libs/control/tests/peer_client_test.cpp
+++ b/libs/control/tests/peer_client_test.cpp
@@ -39,9 +39,12 @@
                         if (request.service.empty()) {
                             throw std::runtime_error("fault in a handler");
                         }
-                        return {request.duration == 2s,
-                                request.revision,
-                                {{{4}, {vm_name("a"), vm_name("b")}}, {{5}, {}}}};
+                        const bool whole =
+                            request.grant.duration == 2s && request.grant.members_digest == 77;
+                        return {{whole,
+                                 true,
+                                 request.grant.revision,
+                                 {{{4}, {vm_name("a"), vm_name("b")}, 3s}, {{5}, {}, 0s}}}};
                     }}};
     control_server server{{},
                           {.rpc = [this](const std::string& body) { return rpc.handle(body); }}};
@@ -66,11 +69,16 @@
 
     REQUIRE(client.fetch_list(peer, {header, {8}}).revision == list_revision{8});
 
-    const auto lease = client.grant_lease(peer, {header, service_name("pedidos"), {5}, 2s});
+    const auto lease =
+        client.grant_lease(peer, {header, service_name("pedidos"), {{5}, 77, 2s}}).grant;
     REQUIRE(lease.granted);
+    REQUIRE(lease.ready);
     REQUIRE(lease.revision == list_revision{5});
-    REQUIRE(lease.lists ==
-            std::vector<member_list>{{{4}, {vm_name("a"), vm_name("b")}}, {{5}, {}}});
+    REQUIRE(lease.lists.size() == 2);
+    REQUIRE(lease.lists[0].revision == list_revision{4});
+    REQUIRE(lease.lists[0].members == std::vector{vm_name("a"), vm_name("b")});
+    REQUIRE(lease.lists[0].age == 3s);
+    REQUIRE(lease.lists[1].members.empty());
     REQUIRE(malformed == 0);
 }
 
@@ -107,7 +115,7 @@
 // Guards against a fault at the peer that ends a process instead of failing one call.
 TEST_CASE_METHOD(peer_client_fixture, "peer_client_faults_of_the_peer_are_typed_failures")
 {
-    REQUIRE_THROWS_AS(client.grant_lease(peer, {header, service_name(""), {5}, 2s}),
+    REQUIRE_THROWS_AS(client.grant_lease(peer, {header, service_name(""), {{5}, 77, 2s}}),
                       invalid_peer_answer);
     exchange_message oversized{.header = header};
     oversized.header.cluster = std::string(300'000, 'c');
--- /dev/null
+++ b/libs/node/src/call_router.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "forwarder.h"
+
+#include "control/metrics.h"
+#include "routing/entry_allowances.h"
+
+#include <optional>
+
+namespace trefoil {
+
+/// Entry point of every call: resolves its headers against the configuration and serves it as a
+/// forwarded call of a peer, an onward call of the own upstream, or a call of a caller.
+class call_router {
+public:
+    call_router(const settings& s, node_views& views, inbound_server& inbound, forwarder& forward,
+                flow_fractions& fractions, metrics& counters, local_runner& runner);
+
+    asio::awaitable<call_response> handle(call_request request, std::size_t shard,
+                                          std::shared_ptr<cancel_token> cancel);
+
+private:
+    /// Fills `c` from the request. An answer means that the call is refused.
+    std::optional<call_response> resolve(call_request& request, call& c);
+    /// Objects of the configuration, deadline and id.
+    std::optional<call_response> resolve_objects(call& c);
+    asio::awaitable<call_response> dispatch(call& c);
+    asio::awaitable<call_response> serve_entry(call& c);
+    asio::awaitable<call_response> serve_onward(call& c);
+    asio::awaitable<call_response> serve_forwarded(call& c);
+    call_response refuse_at_entry(const call& c, refusal_reason reason,
+                                  std::chrono::milliseconds retry_after) const;
+    std::chrono::milliseconds entry_retry_after(const call& c, double fraction);
+    void add_versions(call_response& response) const;
+    void count(const call& c, const call_response& response);
+
+    const settings& settings_;
+    node_views& views_;
+    inbound_server& inbound_;
+    forwarder& forward_;
+    flow_fractions& fractions_;
+    metrics& metrics_;
+    local_runner& runner_;
+    entry_allowances entry_allowances_;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/node/src/published_state.cpp
@@ -0,0 +1,158 @@
+#include "published_state.h"
+
+#include "objects/bundle.h"
+#include "wire/vm_list.h"
+
+namespace trefoil {
+
+published_state::published_state(const settings& s, node_views& views, membership_monitor& members,
+                                 once_guard& once, admission_gate& gate, metrics& counters,
+                                 change_log& log)
+    : settings_(s), views_(views), members_(members), once_(once), gate_(gate), metrics_(counters),
+      log_(log), spread_({s.vm, s.availability_zone}, boot_clock::now())
+{
+}
+
+void published_state::offer_config(config_version version, std::optional<content_digest> stated,
+                                   const std::string& text, version_source source)
+{
+    const auto verdict = accept_config(version, stated, text, source);
+    count("config", verdict);
+    if (verdict == version_verdict::accepted && listeners_.changed) {
+        listeners_.changed();
+    }
+}
+
+version_verdict published_state::accept_config(config_version version,
+                                               std::optional<content_digest> stated,
+                                               const std::string& text, version_source source)
+{
+    const std::lock_guard lock(mutex_);
+    if (version <= spread_.config().in_force()) {
+        return version_verdict::older;
+    }
+    std::shared_ptr<const runtime_config> config;
+    try {
+        auto candidate = parse_bundle(text);
+        if (candidate.version != version || !may_follow(candidate, bundle_in_force_)) {
+            refuse_config(version, text, "its version or base does not follow the one in force");
+            return version_verdict::invalid;
+        }
+        config = std::make_shared<runtime_config>(std::move(candidate), settings_.service);
+    }
+    catch (const error& e) {
+        refuse_config(version, text, e.what());
+        return version_verdict::invalid;
+    }
+    const auto actual = digest_of(text);
+    const auto verdict =
+        spread_.offer_config(version, stated.value_or(actual), actual, source, boot_clock::now());
+    if (verdict != version_verdict::accepted) {
+        return verdict;
+    }
+    log_.record("config_accepted", "bundle", std::to_string(bundle_in_force_.version.value),
+                to_string(config->source().id()),
+                source == version_source::platform ? "platform" : "peer");
+    config_text_ = text;
+    bundle_in_force_ = config->source().id();
+    gate_.set_policy(config->policy(), boot_clock::now());
+    members_.set_called_services(config->called_services());
+    views_.config.set(config);
+    return verdict;
+}
+
+void published_state::refuse_config(config_version version, const std::string& text,
+                                    const std::string& why)
+{
+    spread_.refuse_config(version, digest_of(text));
+    log_.record("config_refused", "bundle", std::to_string(bundle_in_force_.version.value),
+                std::to_string(version.value), why);
+}
+
+void published_state::offer_list(list_revision revision, std::optional<content_digest> stated,
+                                 const std::string& text, version_source source)
+{
+    vm_list list;
+    try {
+        list = parse_vm_list(text);
+        if (list.revision != revision) {
+            throw invalid_vm_list("its revision differs from the one stated");
+        }
+    }
+    catch (const invalid_vm_list& e) {
+        log_.record("list_refused", "vm_list", "", std::to_string(revision.value), e.what());
+        count("list", version_verdict::invalid);
+        const std::lock_guard lock(mutex_);
+        spread_.refuse_list(revision, digest_of(text));
+        return;
+    }
+    const auto verdict = accept_list(list, stated, text, source);
+    count("list", verdict);
+    const bool usable = verdict == version_verdict::accepted || verdict == version_verdict::waiting;
+    if (usable && listeners_.list_known) {
+        listeners_.list_known(list);
+    }
+    if (verdict == version_verdict::accepted && listeners_.changed) {
+        listeners_.changed();
+    }
+}
+
+version_verdict published_state::accept_list(const vm_list& list,
+                                             std::optional<content_digest> stated,
+                                             const std::string& text, version_source source)
+{
+    const std::lock_guard lock(mutex_);
+    const auto actual = digest_of(text);
+    const auto before = spread_.list().in_force();
+    const auto verdict = spread_.offer_list(list.revision, stated.value_or(actual), actual, source,
+                                            boot_clock::now());
+    if (verdict != version_verdict::accepted) {
+        return verdict;
+    }
+    log_.record("list_accepted", "vm_list", std::to_string(before.value),
+                std::to_string(list.revision.value),
+                source == version_source::platform ? "platform" : "peer");
+    list_text_ = text;
+    once_.update_list(list, boot_clock::now());
+    views_.list.set(std::make_shared<list_snapshot>(list));
+    members_.apply_list(list);
+    return verdict;
+}
+
+std::optional<std::chrono::nanoseconds> published_state::contact_age() const
+{
+    const std::lock_guard lock(mutex_);
+    return const_cast<spread_state&>(spread_).watcher().contact_age(boot_clock::now());
+}
+
+published_text<config_version> published_state::config() const
+{
+    const std::lock_guard lock(mutex_);
+    return {spread_.config().in_force(), spread_.config().digest(), config_text_};
+}
+
+published_text<list_revision> published_state::list() const
+{
+    const std::lock_guard lock(mutex_);
+    return {spread_.list().in_force(), spread_.list().digest(), list_text_};
+}
+
+config_version published_state::watch_config_after() const
+{
+    const std::lock_guard lock(mutex_);
+    return spread_.config().watch_after();
+}
+
+list_revision published_state::watch_list_after() const
+{
+    const std::lock_guard lock(mutex_);
+    return spread_.list().watch_after();
+}
+
+void published_state::count(const char* value, version_verdict verdict)
+{
+    metrics_.add("trefoil_published_total{value=\"" + std::string(value) + "\",verdict=\"" +
+                 std::string(to_string(verdict)) + "\"}");
+}
+
+} // namespace trefoil
