Keep an accepted connection alive until its coroutine starts

A node crashed at its first forwarded call: the coroutine of an accepted connection starts on another thread, after the only reference to the connection was gone (backtrace in shared_from_this). Ruled out: the admission gate and the call path, which were not reached. A wake-up without data also counted as a closed connection.

--- a/libs/call_io/src/call_listener.cpp
+++ b/libs/call_io/src/call_listener.cpp
@@ -16,6 +16,7 @@
 #include <sys/socket.h>
 
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 
 namespace trefoil {
@@ -130,9 +131,16 @@
     {
         stream_.socket().async_wait(
             tcp::socket::wait_read, [self = shared_from_this(), cancel](auto error) {
+                if (error) {
+                    return;
+                }
                 char byte = 0;
                 const auto handle = self->stream_.socket().native_handle();
-                if (!error && recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0) {
+                const auto count = recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+                if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+                    self->watch_for_close(cancel); // A wake-up without data.
+                }
+                else if (count <= 0) {
                     cancel->cancel();
                 }
             });
@@ -190,7 +198,10 @@
             continue;
         }
         auto connection = std::make_shared<session>(std::move(socket), shard, state_);
-        asio::co_spawn(*shards_[shard], connection->run(), asio::detached);
+        // The function object keeps the connection alive; a started coroutine alone would not, as
+        // it begins on another thread after this reference has gone.
+        asio::co_spawn(
+            *shards_[shard], [connection] { return connection->run(); }, asio::detached);
     }
 }
 
--- a/libs/node/src/call_router.cpp
+++ b/libs/node/src/call_router.cpp
@@ -4,6 +4,7 @@
 
 #include "admission/admit_fractions.h"
 #include "base/hash.h"
+#include "base/log_event.h"
 #include "wire/call_headers.h"
 #include "wire/parse_call.h"
 
@@ -69,7 +70,15 @@
         co_return std::move(*refused);
     }
     c.body = std::move(request.body());
-    auto response = co_await dispatch(c);
+    call_response response;
+    try {
+        response = co_await dispatch(c);
+    }
+    catch (const std::exception& e) {
+        // How far the call got is not known here.
+        log_event("call_failed").add("id", c.id).add("detail", e.what()).error();
+        response = refusal_answer(c.id, outcome::unknown, refusal_reason::none, {});
+    }
     add_versions(response);
     count(c, response);
     co_return response;
