Add overload_experiment, which measures admission in a queueing model

One target with 40 slots and a chain of three services run the real controller on a virtual clock, with control off as the baseline.

--- /dev/null
+++ b/apps/overload_experiment/figures.cpp
@@ -0,0 +1,126 @@
+#include "figures.h"
+
+#include <algorithm>
+
+namespace trefoil::experiment {
+
+using namespace std::chrono_literals;
+
+double completed_bottleneck_work(const topology& model, const std::vector<request_record>& records,
+                                 mono_time from, mono_time to)
+{
+    double work = 0.0;
+    for (const auto& r : records) {
+        if (r.ok && r.ended >= from && r.ended < to) {
+            work += std::chrono::duration<double>(model.bottleneck_work(r.kind)).count();
+        }
+    }
+    return work;
+}
+
+std::optional<std::chrono::milliseconds> recovery_time(const std::vector<request_record>& records,
+                                                       mono_time over, mono_time stop)
+{
+    constexpr auto window = 250ms;
+    constexpr int needed = 4;
+    const auto count = static_cast<std::size_t>((stop - over) / window);
+    std::vector<double> arrived(count);
+    std::vector<double> completed(count);
+    for (const auto& r : records) {
+        if (r.arrived >= over && r.arrived < over + count * window) {
+            const auto i = static_cast<std::size_t>((r.arrived - over) / window);
+            arrived[i] += 1.0;
+            completed[i] += r.ok ? 1.0 : 0.0;
+        }
+    }
+    int good = 0;
+    for (std::size_t i = 0; i < count; ++i) {
+        good = completed[i] >= 0.95 * arrived[i] ? good + 1 : 0;
+        if (good == needed) {
+            return window * (static_cast<int>(i) + 1 - needed);
+        }
+    }
+    return std::nullopt;
+}
+
+namespace {
+
+/// Requests per second of the kind that its fair share allows at its scarcest service: the share of
+/// its rank there, divided among the kinds of the rank that pass the service. All groups send in
+/// proportion to their shares, so that the groups cancel out.
+double fair_rate(const topology& model, const object_set& objects, std::size_t kind,
+                 double bottleneck_capacity)
+{
+    const auto& k = model.kinds[kind];
+    double fair = model.kind_capacity(kind);
+    for (std::size_t hop = 0; hop < k.path.size(); ++hop) {
+        const auto service = k.path[hop];
+        double total = 0.0;
+        double same_rank = 0.0;
+        for (const auto& r : objects.ranks) {
+            double kinds = 0.0;
+            for (const auto& other : model.kinds) {
+                const bool passes = std::ranges::find(other.path, service) != other.path.end();
+                kinds += passes && other.rank == r.name ? 1.0 : 0.0;
+            }
+            total += kinds > 0.0 ? r.share : 0.0;
+            same_rank = r.name == k.rank ? kinds : same_rank;
+        }
+        const double capacity = service == model.bottleneck
+                                    ? bottleneck_capacity
+                                    : static_cast<double>(model.services[service].slots);
+        const double share = objects.find(k.rank)->share / total / same_rank;
+        fair =
+            std::min(fair, capacity * share / std::chrono::duration<double>(k.work[hop]).count());
+    }
+    return fair;
+}
+
+} // namespace
+
+void add_service_figures(const topology& model, const scenario& s,
+                         const std::vector<request_record>& records, mono_time from, mono_time to,
+                         double capacity, run_figures& f)
+{
+    const auto objects = model.objects();
+    std::vector<double> arrived(model.kinds.size());
+    std::vector<double> completed(model.kinds.size());
+    for (const auto& r : records) {
+        if (r.arrived >= from && r.arrived < to) {
+            arrived[r.kind] += 1.0;
+            completed[r.kind] += r.ok ? 1.0 : 0.0;
+        }
+    }
+    const auto ratio = [](double part, double whole) { return whole > 0.0 ? part / whole : 1.0; };
+    const double seconds = std::chrono::duration<double>(to - from).count();
+    f.smallest_share_kept = 1e9;
+    for (const auto& rank : objects.ranks) {
+        double rank_arrived = 0.0;
+        double rank_completed = 0.0;
+        for (std::size_t k = 0; k < model.kinds.size(); ++k) {
+            if (model.kinds[k].rank == rank.name) {
+                rank_arrived += arrived[k];
+                rank_completed += completed[k];
+            }
+        }
+        f.served_by_rank.push_back(ratio(rank_completed, rank_arrived));
+    }
+    double precious_arrived = 0.0;
+    double precious_completed = 0.0;
+    for (std::size_t k = 0; k < model.kinds.size(); ++k) {
+        const double fair = fair_rate(model, objects, k, capacity) * seconds;
+        kind_figures kind{model.kinds[k].name.str(), ratio(completed[k], arrived[k]),
+                          ratio(completed[k], std::min(fair, arrived[k]))};
+        if (objects.find(model.kinds[k].rank)->share > 0.0) {
+            precious_arrived += arrived[k];
+            precious_completed += completed[k];
+            if (k != s.flooding_kind) {
+                f.smallest_share_kept = std::min(f.smallest_share_kept, kind.of_fair_share);
+            }
+        }
+        f.kinds.push_back(kind);
+    }
+    f.precious_served = ratio(precious_completed, precious_arrived);
+}
+
+} // namespace trefoil::experiment
