--- a/libs/admission/include/admission/admission_options.h
+++ b/libs/admission/include/admission/admission_options.h
@@ -27,7 +27,7 @@
     /// Duration of that growth.
     std::chrono::milliseconds cold_ramp{5000};
     /// Retry-after of a flow that is admitted nearly always; grows as its admit fraction falls.
-    std::chrono::milliseconds min_retry_after{100};
+    std::chrono::milliseconds min_retry_after{200};
     std::chrono::milliseconds max_retry_after{2000};
     admit_fraction_options fractions;
 };
