--- a/libs/admission/src/aimd_limit.cpp
+++ b/libs/admission/src/aimd_limit.cpp
@@ -28,15 +28,17 @@
         return;
     }
     ++since_decrease_;
-    bool overloaded = sample.result == completion_result::shed;
-    if (!overloaded && sample.baseline.count() > 0) {
+    const bool shed = sample.result == completion_result::shed;
+    bool overloaded = shed;
+    if (!shed && sample.baseline.count() > 0) {
         const double ratio = static_cast<double>(sample.duration.count()) /
                              static_cast<double>(sample.baseline.count());
         latency_ratio_ += ratio_weight * (ratio - latency_ratio_);
         overloaded = latency_ratio_ > options_.tolerance;
     }
     if (overloaded && since_decrease_ >= current()) {
-        limit_ *= options_.decrease;
+        const double lower = limit_ * options_.decrease;
+        limit_ = shed ? lower : options_.bounds.clamp_decrease(lower, limit_, slots_);
         since_decrease_ = 0;
     }
     else if (!overloaded && sample.limited) {
--- a/libs/admission/src/gradient_limit.cpp
+++ b/libs/admission/src/gradient_limit.cpp
@@ -47,7 +47,11 @@
     // Without pressure, latency says nothing about a higher limit.
     const double headroom = limited_ ? std::sqrt(limit_) : 0.0;
     const double target = limit_ * gradient + headroom;
-    limit_ = options_.bounds.clamp(limit_ + options_.smoothing * (target - limit_), slots_);
+    double next = limit_ + options_.smoothing * (target - limit_);
+    if (shed_ == 0) {
+        next = options_.bounds.clamp_decrease(next, limit_, slots_);
+    }
+    limit_ = options_.bounds.clamp(next, slots_);
     duration_sum_ = baseline_sum_ = std::chrono::nanoseconds{0};
     samples_ = shed_ = 0;
     limited_ = false;
--- a/libs/admission/src/queue_delay_limit.cpp
+++ b/libs/admission/src/queue_delay_limit.cpp
@@ -34,7 +34,8 @@
         return;
     }
     if (shed_ || (samples_ > 0 && excess_sum_ / samples_ > options_.target)) {
-        limit_ *= options_.decrease;
+        const double lower = limit_ * options_.decrease;
+        limit_ = shed_ ? lower : options_.bounds.clamp_decrease(lower, limit_, slots_);
     }
     else if (limited_) {
         limit_ += 1.0;
--- a/libs/admission/tests/fair_queue_test.cpp
+++ b/libs/admission/tests/fair_queue_test.cpp
@@ -83,3 +83,22 @@
     CHECK(urgent >= 199);
     CHECK(urgent <= 201);
 }
+
+// Guards against an urgent rank that is held to the pace of the others while below its share.
+TEST_CASE_METHOD(fair_queue_fixture, "fair_queue_urgent_rank_uses_its_whole_share_before_the_next")
+{
+    auto policy = make_policy(2);
+    // Three ranks of equal share; the last one has used all capacity so far.
+    for (auto& r : policy.ranks) {
+        r.share = 1.0;
+    }
+    queue = fair_queue(policy, bound, 500ms);
+    for (int i = 0; i < 9; ++i) {
+        push(make_work(4, 0));
+        next();
+    }
+    const auto normal = push(make_work(2, 0));
+    const std::vector urgent{push(make_work(0, 0)), push(make_work(0, 0)), push(make_work(0, 0))};
+    CHECK(std::vector{next(), next(), next()} == urgent);
+    CHECK(next() == normal);
+}
