--- a/apps/overload_experiment/scenario.cpp
+++ b/apps/overload_experiment/scenario.cpp
@@ -1,5 +1,7 @@
 #include "scenario.h"
 
+#include <algorithm>
+
 namespace trefoil::experiment {
 
 using namespace std::chrono_literals;
@@ -50,6 +52,8 @@
     for (const double real : {0.6, 1.5}) {
         auto wrong = surge(model, real < 1.0 ? "2x-slots-0.6" : "2x-slots-1.5", 2.0);
         wrong.real_slots = real;
+        // Fewer real slots would be overloaded by the usual calm demand already.
+        wrong.calm_rate = rates(model, calm_load * std::min(1.0, real));
         all.push_back(wrong);
     }
     return all;
