--- a/apps/overload_experiment/figures.cpp
+++ b/apps/overload_experiment/figures.cpp
@@ -85,10 +85,16 @@
     const auto objects = model.objects();
     std::vector<double> arrived(model.kinds.size());
     std::vector<double> completed(model.kinds.size());
+    double urgent_ms = 0.0;
+    double urgent_completed = 0.0;
     for (const auto& r : records) {
         if (r.arrived >= from && r.arrived < to) {
             arrived[r.kind] += 1.0;
             completed[r.kind] += r.ok ? 1.0 : 0.0;
+            if (r.ok && model.kinds[r.kind].rank == objects.ranks.front().name) {
+                urgent_ms += std::chrono::duration<double, std::milli>(r.ended - r.arrived).count();
+                urgent_completed += 1.0;
+            }
         }
     }
     const auto ratio = [](double part, double whole) { return whole > 0.0 ? part / whole : 1.0; };
@@ -120,6 +126,7 @@
         }
         f.kinds.push_back(kind);
     }
+    f.urgent_ms = ratio(urgent_ms, urgent_completed);
     f.precious_served = ratio(precious_completed, precious_arrived);
 }
 
--- a/apps/overload_experiment/main.cpp
+++ b/apps/overload_experiment/main.cpp
@@ -26,7 +26,8 @@
     "Columns: goodput is a ratio to the measured capacity; urgent, normal, browse and\n"
     "precious are parts of the requests that completed; kept is the smallest part of its\n"
     "fair share or demand that a precious kind kept; wasted is the part of the work done\n"
-    "for requests that failed; attempts is calls at the bottleneck per request.\n";
+    "for requests that failed; attempts is calls at the bottleneck per request; urgent-ms\n"
+    "is the mean time until an urgent request completed.\n";
 
 struct settings {
     bool json = false;
--- a/apps/overload_experiment/report.cpp
+++ b/apps/overload_experiment/report.cpp
@@ -12,7 +12,8 @@
         << "control" << std::right << std::setw(8) << "goodput" << std::setw(10) << "recovery"
         << std::setw(8) << "urgent" << std::setw(8) << "normal" << std::setw(8) << "browse"
         << std::setw(9) << "precious" << std::setw(7) << "kept" << std::setw(8) << "wasted"
-        << std::setw(9) << "attempts" << std::setw(6) << "limit" << '\n';
+        << std::setw(9) << "attempts" << std::setw(10) << "urgent-ms" << std::setw(6) << "limit"
+        << '\n';
     out << std::fixed << std::setprecision(3);
     for (const auto& f : figures) {
         out << std::left << std::setw(15) << f.topology << std::setw(16) << f.scenario
@@ -23,8 +24,8 @@
             out << std::setw(8) << served;
         }
         out << std::setw(9) << f.precious_served << std::setw(7) << f.smallest_share_kept
-            << std::setw(8) << f.wasted_work << std::setw(9) << f.deepest_attempts << std::setw(6)
-            << f.limit << '\n';
+            << std::setw(8) << f.wasted_work << std::setw(9) << f.deepest_attempts << std::setw(10)
+            << f.urgent_ms << std::setw(6) << f.limit << '\n';
     }
 }
 
@@ -50,6 +51,7 @@
             run["kinds"][k.kind]["served"] = k.served;
             run["kinds"][k.kind]["of_fair_share"] = k.of_fair_share;
         }
+        run["urgent_ms"] = f.urgent_ms;
         run["wasted_work"] = f.wasted_work;
         run["deepest_attempts"] = f.deepest_attempts;
         run["limit"] = f.limit;
--- a/apps/overload_experiment/run.h
+++ b/apps/overload_experiment/run.h
@@ -35,6 +35,9 @@
     /// Part of the requests of each rank that completed, most urgent rank first.
     std::vector<double> served_by_rank;
     double precious_served = 0.0;
+    /// Mean time, in milliseconds, until a request of the most urgent rank completed; repeats
+    /// included.
+    double urgent_ms = 0.0;
     /// Smallest of_fair_share of the kinds that do not flood and are not browsing.
     double smallest_share_kept = 0.0;
     std::vector<kind_figures> kinds;
