--- a/libs/admission/include/admission/aimd_limit.h
+++ b/libs/admission/include/admission/aimd_limit.h
@@ -11,8 +11,10 @@
     limit_bounds bounds;
     /// Factor of one decrease.
     double decrease = 0.9;
-    /// A recent mean latency above this multiple of the baseline counts as overload.
-    double tolerance = 2.0;
+    /// A recent mean latency above this multiple of the baseline counts as overload. At 2 the limit
+    /// settles half above the real slots; at 1.5 it stops below an upstream that has half more
+    /// slots than configured.
+    double tolerance = 1.7;
 };
 
 /// Additive increase, multiplicative decrease (Chiu and Jain, 1989): one more request per round of
