--- a/libs/admission/include/admission/admission_core.h
+++ b/libs/admission/include/admission/admission_core.h
@@ -59,6 +59,7 @@
     using refusal_key = std::tuple<rank_index, group_index, refusal_reason>;
 
     std::uint32_t effective_limit(std::uint32_t limit, mono_time now) const;
+    bool has_spare(std::uint32_t limit, mono_time now) const;
     std::uint32_t in_flight() const { return static_cast<std::uint32_t>(running_.size()); }
     fair_queue make_queue() const;
     std::uint32_t& running_of(const flow_id& flow);
@@ -66,7 +67,7 @@
     bool can_start_in_time(const queued_item& item, std::uint32_t limit, mono_time now) const;
     void refuse_expired(mono_time now, admission_changes& changes);
     void start_waiting(std::uint32_t limit, mono_time now, admission_changes& changes);
-    void displace(admission_changes& changes);
+    void displace(mono_time now, admission_changes& changes);
     void refuse(const queued_item& item, refusal_reason reason, admission_changes& changes);
     void count_refusal(const work_item& work, refusal_reason reason);
     std::chrono::milliseconds draw_retry_after(const work_item& work);
--- a/libs/admission/src/admission_core.cpp
+++ b/libs/admission/src/admission_core.cpp
@@ -40,6 +40,11 @@
 {
 }
 
+bool admission_core::has_spare(std::uint32_t limit, mono_time now) const
+{
+    return queue_.size() == 0 && in_flight() < effective_limit(limit, now);
+}
+
 fair_queue admission_core::make_queue() const
 {
     return {policy_, queue_bound(policy_, options_), options_.share_window};
@@ -108,8 +113,8 @@
         queue_.push(item);
     }
     start_waiting(limit, now, changes);
-    displace(changes);
-    fractions_.advance(now);
+    displace(now, changes);
+    fractions_.advance(now, has_spare(limit, now));
     return item.ticket;
 }
 
@@ -169,7 +174,7 @@
     admission_changes changes;
     refuse_expired(now, changes);
     start_waiting(limit, now, changes);
-    fractions_.advance(now);
+    fractions_.advance(now, has_spare(limit, now));
     return changes;
 }
 
@@ -198,10 +203,10 @@
     }
 }
 
-void admission_core::displace(admission_changes& changes)
+void admission_core::displace(mono_time now, admission_changes& changes)
 {
     while (queue_.size() > queue_.bound()) {
-        refuse(*queue_.pop_victim(), refusal_reason::queue_full, changes);
+        refuse(*queue_.pop_victim(now, costs_), refusal_reason::queue_full, changes);
     }
 }
 
