--- /dev/null
+++ b/libs/membership/tests/suspicion_test.cpp
@@ -0,0 +1,136 @@
+#include "member_view_fixture.h"
+#include "routing/target_selector.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <random>
+
+using namespace trefoil;
+using namespace std::chrono_literals;
+
+// Guards against nodes that are cut off, several of them at once, marking the others down for their
+// peers. The peers have no calls of their own that would show the truth.
+TEST_CASE_METHOD(member_view_fixture, "suspicion_of_cut_off_nodes_does_not_reach_their_peers")
+{
+    REQUIRE(rc::check([this](std::uint64_t seed) {
+        std::mt19937_64 draw(seed);
+        std::vector<member_view> cut_off;
+        for (int i = 0; i < 3; ++i) {
+            cut_off.push_back(make_view("cut-off-" + std::to_string(i)));
+        }
+        auto peer = make_view();
+        for (int step = 0; step < 400; ++step) {
+            now += 50ms;
+            for (auto& node : cut_off) {
+                call(node, vm(draw() % targets), call_evidence::failed);
+                node.tick(now);
+                peer.peer_reported(node.report(now), now);
+            }
+            peer.tick(now);
+            for (std::size_t i = 0; i < targets; ++i) {
+                RC_ASSERT(!suspects(peer, vm(i)));
+            }
+        }
+        RC_ASSERT(cut_off.front().suspects_itself());
+        // Panic routing goes on: the node still has a target to try.
+        RC_ASSERT(target_selector().pick(cut_off.front().candidates(called, now), {}, {}, draw()));
+    }));
+}
+
+// Guards against a single wrong peer, and against peers that overrule what a node's own calls show,
+// but also against a node that learns nothing from its peers.
+TEST_CASE_METHOD(member_view_fixture, "suspicion_by_peers_needs_two_and_yields_to_own_success")
+{
+    auto view = make_view();
+    const member_report first{vm_name("peer-1"), {1}, {}, {vm(0)}};
+    const member_report second{vm_name("peer-2"), {1}, {}, {vm(0)}};
+    view.peer_reported(first, now);
+    view.peer_reported(first, now);
+    REQUIRE(!suspects(view, vm(0)));
+    view.peer_reported(second, now);
+    REQUIRE(suspects(view, vm(0)));
+    REQUIRE(view.report(now + 1h).suspected.empty());
+    call(view, vm(0), call_evidence::answered);
+    REQUIRE(!suspects(view, vm(0)));
+    view.peer_reported(second, now + 1s);
+    REQUIRE(!suspects(view, vm(0)));
+    view.tick(now + 11s);
+    view.peer_reported(first, now + 11s);
+    REQUIRE(!suspects(view, vm(0)));
+    view.peer_reported(second, now + 11s);
+    REQUIRE(suspects(view, vm(0)));
+    view.tick(now + 21s);
+    REQUIRE(!suspects(view, vm(0)));
+}
+
+// Guards against a target that stays suspected after it recovered, and against a flood of trials
+// that burdens one that has not.
+TEST_CASE_METHOD(member_view_fixture, "suspicion_ends_by_rare_trials_after_recovery")
+{
+    REQUIRE(rc::check([this](std::uint64_t seed) {
+        std::mt19937_64 draw(seed);
+        auto view = make_view();
+        const target_selector selector;
+        const auto broken = vm(draw() % targets);
+        const auto fault_ends = now + std::chrono::seconds(draw() % 120);
+        // The longest interval between trials with its spread.
+        const auto latest_recovery = fault_ends + 30s * 5 / 4 + 1s;
+        int trials = 0;
+        fail(view, broken);
+        const auto fault_begins = now;
+        while (now < latest_recovery) {
+            now += 20ms;
+            view.tick(now);
+            const auto choice = selector.pick(view.candidates(called, now),
+                                              availability_zone_name("zone-0"), {}, draw());
+            const auto target = choice->target->vm;
+            const bool fails = target == broken && now < fault_ends;
+            trials += fails ? 1 : 0;
+            call(view, target, fails ? call_evidence::failed : call_evidence::answered);
+        }
+        RC_ASSERT(!suspects(view, broken));
+        // The interval doubles from 1 s to 30 s; the spread shortens it by a quarter at most.
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(fault_ends - fault_begins);
+        RC_ASSERT(trials <= 6 + seconds.count() / 22);
+        if (seconds > 60s) {
+            RC_ASSERT(trials >= 2);
+        }
+    }));
+}
+
+// Guards against suspicions that only the own pause caused: calls from before it, and failures
+// until the view is refreshed.
+TEST_CASE_METHOD(member_view_fixture, "suspicion_after_pause_waits_for_the_refresh")
+{
+    auto view = make_view();
+    const auto before = now;
+    for (int i = 0; i < 3; ++i) {
+        view.call_started(vm(0), before);
+    }
+    call(view, vm(1), call_evidence::failed);
+    call(view, vm(1), call_evidence::failed);
+    now += 10s;
+    REQUIRE(view.pause_detected(now).front().change == membership_change_kind::paused);
+    now += 10ms;
+    fail(view, vm(1));
+    view.peer_reported({vm_name("peer-1"), {1}, {}, {vm(2)}}, now);
+    view.peer_reported({vm_name("peer-2"), {1}, {}, {vm(2)}}, now);
+    REQUIRE(view.marked().empty());
+    view.refreshed(now);
+    REQUIRE(suspects(view, vm(2)));
+    for (int i = 0; i < 3; ++i) {
+        view.call_finished(vm(0), before, call_evidence::failed, now);
+    }
+    REQUIRE(!suspects(view, vm(0)));
+    call(view, vm(1), call_evidence::failed);
+    REQUIRE(!suspects(view, vm(1)));
+    fail(view, vm(1));
+    REQUIRE(suspects(view, vm(1)));
+    // Without anyone to refresh from, suspicion resumes after the time-out.
+    view.pause_detected(now);
+    view.tick(now + 5s);
+    now += 6s;
+    fail(view, vm(3));
+    REQUIRE(suspects(view, vm(3)));
+}
--- a/libs/quarantine/tests/crash_suspects_test.cpp
+++ b/libs/quarantine/tests/crash_suspects_test.cpp
@@ -117,6 +117,21 @@
     }));
 }
 
+// Guards against all targets trying a content at the moment its quarantine ends, and crashing.
+TEST_CASE_METHOD(crash_suspects_fixture, "crash_suspects_trials_of_targets_are_spread")
+{
+    std::vector<std::chrono::nanoseconds> trials;
+    for (int i = 0; i < 20; ++i) {
+        crash_suspects node(vm_name("vm-" + std::to_string(i)), vm_incarnation{1});
+        node.merge(vm_name("vm-9"), std::vector{peer_report(1, {1, 2})}, now);
+        trials.push_back(node.decide(new_id(), {1}, now).retry_after);
+        REQUIRE(node.decide(new_id(), {1}, now + 70s).decision == crash_decision::run_alone);
+    }
+    const auto [first, last] = std::ranges::minmax(trials);
+    REQUIRE(first >= 60s);
+    REQUIRE(last - first > 5s);
+}
+
 // Guards against a peer that keeps a quarantine alive with odd ages, and against fingerprints that
 // change on their way.
 TEST_CASE_METHOD(crash_suspects_fixture, "crash_suspects_odd_ages_do_not_extend_the_quarantine")
--- a/libs/routing/src/target_selector.cpp
+++ b/libs/routing/src/target_selector.cpp
@@ -10,50 +10,66 @@
 
 namespace {
 
-/// Counts of the candidates by what they may be used for.
+/// What panic routing and trials depend on. Reads only flags, since it runs over all candidates.
 struct census {
     std::size_t staying = 0;
     std::size_t healthy = 0;
-    /// The rest leaves out the excluded ones.
-    std::size_t usable_staying = 0;
-    std::size_t usable_own = 0;
-    std::size_t usable_other = 0;
-    const target_candidate* trial = nullptr;
+    bool has_trial = false;
 };
 
-bool is_excluded(const target_candidate& c, std::span<const vm_name> excluded)
-{
-    return std::ranges::find(excluded, c.vm) != excluded.end();
-}
-
-census count(std::span<const target_candidate> candidates, const availability_zone_name& own_zone,
-             std::span<const vm_name> excluded)
+census count(std::span<const target_candidate> candidates)
 {
     census result;
     for (const auto& c : candidates) {
-        if (c.leaving) {
-            continue;
-        }
-        ++result.staying;
-        result.healthy += c.healthy ? 1 : 0;
-        if (is_excluded(c, excluded)) {
-            continue;
-        }
-        ++result.usable_staying;
-        if (c.healthy) {
-            ++(c.availability_zone == own_zone ? result.usable_own : result.usable_other);
-        }
-        else if (c.trial_due && result.trial == nullptr) {
-            result.trial = &c;
-        }
+        result.staying += c.leaving ? 0 : 1;
+        result.healthy += c.healthy && !c.leaving ? 1 : 0;
+        result.has_trial = result.has_trial || c.trial_due;
     }
     return result;
 }
 
-/// Maps 32 random bits to [0, size).
-std::size_t scale(std::uint64_t bits, std::size_t size)
+/// Indices derived from one random number.
+class index_stream {
+public:
+    explicit index_stream(std::uint64_t seed) : state_(seed) {}
+
+    /// An index below `size`, which is below 2^32.
+    std::size_t next(std::size_t size)
+    {
+        state_ += 0x9e3779b97f4a7c15U;
+        return static_cast<std::size_t>(((mix64(state_) >> 32U) * size) >> 32U);
+    }
+
+private:
+    std::uint64_t state_;
+};
+
+/// Draws made before all candidates are looked at. Comparing names is the largest part of the cost,
+/// and with a third of the candidates matching, this many draws fail once in a hundred times.
+constexpr int draw_limit = 12;
+
+/// A random candidate that matches; null if none does.
+template<class Predicate>
+const target_candidate* draw(std::span<const target_candidate> candidates, index_stream& indices,
+                             Predicate matches)
 {
-    return static_cast<std::size_t>(((bits & 0xffffffffU) * size) >> 32U);
+    if (candidates.empty()) {
+        return nullptr;
+    }
+    for (int i = 0; i < draw_limit; ++i) {
+        const auto& c = candidates[indices.next(candidates.size())];
+        if (matches(c)) {
+            return &c;
+        }
+    }
+    const auto matching = std::ranges::count_if(candidates, matches);
+    if (matching == 0) {
+        return nullptr;
+    }
+    auto skip = indices.next(static_cast<std::size_t>(matching));
+    const auto it =
+        std::ranges::find_if(candidates, [&](const auto& c) { return matches(c) && skip-- == 0; });
+    return &*it;
 }
 
 /// Loads of two targets in a common unit: expected work if both latencies are known, otherwise
@@ -69,34 +85,28 @@
             calls_b * static_cast<double>(b.latency.count())};
 }
 
-/// The less loaded of two random ones among the `size` candidates that satisfy `matches`.
+/// The less loaded of two random candidates that match; null if none does.
 template<class Predicate>
 const target_candidate* less_loaded_of_two(std::span<const target_candidate> candidates,
-                                           std::size_t size, std::uint64_t random,
-                                           Predicate matches)
+                                           index_stream& indices, Predicate matches)
 {
-    const std::size_t first = scale(random, size);
-    // The second draw is over the others, so that the two differ.
-    std::size_t second = size > 1 ? scale(random >> 32U, size - 1) : first;
-    if (size > 1 && second >= first) {
-        ++second;
+    const auto* a = draw(candidates, indices, matches);
+    if (a == nullptr) {
+        return nullptr;
     }
-    const target_candidate* a = &candidates.front();
-    const target_candidate* b = a;
-    const std::size_t last = std::max(first, second);
-    std::size_t index = 0;
-    for (auto it = candidates.begin(); it != candidates.end() && index <= last; ++it) {
-        if (!matches(*it)) {
-            continue;
-        }
-        a = index == first ? &*it : a;
-        b = index == second ? &*it : b;
-        ++index;
+    const auto* b = draw(candidates, indices, [&](const auto& c) { return &c != a && matches(c); });
+    if (b == nullptr) {
+        return a;
     }
     const auto [load_a, load_b] = loads(*a, *b);
     return load_b < load_a ? b : a;
 }
 
+std::optional<target_choice> choice_of(const target_candidate* target, selection_mode mode)
+{
+    return target == nullptr ? std::nullopt : std::optional(target_choice{target, mode});
+}
+
 } // namespace
 
 std::optional<target_choice> target_selector::pick(std::span<const target_candidate> candidates,
@@ -104,44 +114,41 @@
                                                    std::span<const vm_name> excluded,
                                                    std::uint64_t random, trial_policy trials) const
 {
-    const auto counts = count(candidates, own_zone, excluded);
+    index_stream indices(random);
+    const auto is_usable = [&](const target_candidate& c) {
+        return !c.leaving && std::ranges::find(excluded, c.vm) == excluded.end();
+    };
+    const auto counts = count(candidates);
     if (counts.healthy * 2 < counts.staying) {
-        if (counts.usable_staying == 0) {
-            return std::nullopt;
-        }
-        const auto* target =
-            less_loaded_of_two(candidates, counts.usable_staying, random, [&](const auto& c) {
-                return !c.leaving && !is_excluded(c, excluded);
-            });
-        return target_choice{target, selection_mode::panic};
+        return choice_of(less_loaded_of_two(candidates, indices, is_usable), selection_mode::panic);
     }
-    if (trials == trial_policy::allowed && counts.trial != nullptr) {
-        return target_choice{counts.trial, selection_mode::trial};
-    }
-    const auto usable = [&](const target_candidate& c, bool own) {
-        return c.healthy && !c.leaving && (c.availability_zone == own_zone) == own &&
-               !is_excluded(c, excluded);
-    };
-    const target_candidate* own = nullptr;
-    if (counts.usable_own > 0) {
-        own = less_loaded_of_two(candidates, counts.usable_own, random,
-                                 [&](const auto& c) { return usable(c, true); });
-        if (counts.usable_other == 0 || own->in_flight < options_.zone_in_flight) {
-            return target_choice{own, selection_mode::own_zone};
+    if (trials == trial_policy::allowed && counts.has_trial) {
+        const auto is_trial = [&](const auto& c) {
+            return c.trial_due && !c.healthy && is_usable(c);
+        };
+        if (const auto* target = draw(candidates, indices, is_trial)) {
+            return target_choice{target, selection_mode::trial};
         }
     }
-    if (counts.usable_other == 0) {
-        return std::nullopt;
+    const auto* own = less_loaded_of_two(candidates, indices, [&](const auto& c) {
+        return c.healthy && c.availability_zone == own_zone && is_usable(c);
+    });
+    if (own != nullptr && own->in_flight < options_.zone_in_flight) {
+        return target_choice{own, selection_mode::own_zone};
+    }
+    const auto* other = less_loaded_of_two(candidates, indices, [&](const auto& c) {
+        return c.healthy && c.availability_zone != own_zone && is_usable(c);
+    });
+    if (own == nullptr) {
+        return choice_of(other, selection_mode::other_zone);
     }
-    const auto* other = less_loaded_of_two(candidates, counts.usable_other, mix64(random),
-                                           [&](const auto& c) { return usable(c, false); });
-    if (own != nullptr) {
+    if (other != nullptr) {
         const auto [own_load, other_load] = loads(*own, *other);
-        if (own_load <= options_.zone_preference * other_load) {
-            return target_choice{own, selection_mode::own_zone};
+        if (own_load > options_.zone_preference * other_load) {
+            return target_choice{other, selection_mode::other_zone};
         }
     }
-    return target_choice{other, selection_mode::other_zone};
+    return target_choice{own, selection_mode::own_zone};
 }
 
 } // namespace trefoil
