--- a/libs/membership/include/membership/member_view.h
+++ b/libs/membership/include/membership/member_view.h
@@ -24,9 +24,6 @@
     std::uint32_t failures_to_suspect = 3;
     /// Peers that must report a target before this node suspects it without evidence of its own.
     std::uint32_t reports_to_suspect = 2;
-    /// A suspicion is reported to peers only after it has lasted this long, so that a node that is
-    /// cut off finds that it suspects most of a service before it reports its first suspicions.
-    std::chrono::nanoseconds report_delay = std::chrono::seconds(2);
     /// A peer's report counts this long unless repeated; exchanges take place each second.
     std::chrono::nanoseconds report_lifetime = std::chrono::seconds(10);
     /// Own results count as evidence this long; a recent success outweighs the peers' reports.
@@ -130,8 +127,9 @@
     /// Whether the node suspects most of some service, and therefore itself.
     bool suspects_itself() const;
 
-    /// What to tell peers.
-    member_report report(mono_time now) const;
+    /// What to tell peers. Leaves out all suspicions if the node suspects itself, and those of a
+    /// target unless more of its service's other targets answered than failed since.
+    member_report report() const;
 
     list_revision revision() const;
 
--- a/libs/membership/src/member_view.cpp
+++ b/libs/membership/src/member_view.cpp
@@ -48,7 +48,7 @@
     s.revision = list.revision;
     for (auto& [name, view] : s.services) {
         s.apply_entries(view, list.of_service(name), now, changes);
-        s.update_self_suspicion(name, view, now, changes);
+        s.update_self_suspicion(name, view, changes);
     }
     return changes;
 }
@@ -126,7 +126,7 @@
             view.members[i].health.reported(report.from, suspected, now);
             s.update_member(view, i, now, changes);
         }
-        s.update_self_suspicion(name, view, now, changes);
+        s.update_self_suspicion(name, view, changes);
     }
     return changes;
 }
@@ -239,7 +239,7 @@
     return state_->suspects_itself();
 }
 
-member_report member_view::report(mono_time now) const
+member_report member_view::report() const
 {
     const auto& s = *state_;
     member_report result{s.own_vm, s.own_incarnation, {}, {}};
@@ -253,9 +253,7 @@
     }
     for (const auto& [name, view] : s.services) {
         for (std::size_t i = 0; i < view.members.size(); ++i) {
-            const auto& health = view.members[i].health;
-            const bool lasted = now - health.own_suspected_since() >= s.options.report_delay;
-            if (health.own_suspected() && lasted && !view.candidates[i].leaving) {
+            if (view.is_reportable(i, s.own_vm)) {
                 result.suspected.push_back(view.members[i].entry.name);
             }
         }
--- a/libs/membership/src/member_view_state.cpp
+++ b/libs/membership/src/member_view_state.cpp
@@ -163,13 +163,13 @@
                                 membership_changes& changes, membership_reason because)
 {
     update_member(view, index, now, changes, because);
-    update_self_suspicion(view.members[index].entry.service, view, now, changes);
+    update_self_suspicion(view.members[index].entry.service, view, changes);
 }
 
 void member_view::state::update_self_suspicion(const service_name& service, service_view& view,
-                                               mono_time now, membership_changes& changes) const
+                                               membership_changes& changes) const
 {
-    if (view.suspects_most(own_vm, now, options) == view.self_suspected) {
+    if (view.suspects_most(own_vm) == view.self_suspected) {
         return;
     }
     view.self_suspected = !view.self_suspected;
@@ -186,7 +186,7 @@
         for (std::size_t i = 0; i < view.members.size(); ++i) {
             update_member(view, i, now, changes);
         }
-        update_self_suspicion(name, view, now, changes);
+        update_self_suspicion(name, view, changes);
     }
 }
 
--- a/libs/membership/src/member_view_state.h
+++ b/libs/membership/src/member_view_state.h
@@ -59,7 +59,7 @@
     void update_member(service_view& view, std::size_t index, mono_time now,
                        membership_changes& changes,
                        membership_reason because = membership_reason::none);
-    void update_self_suspicion(const service_name& service, service_view& view, mono_time now,
+    void update_self_suspicion(const service_name& service, service_view& view,
                                membership_changes& changes) const;
     /// Both steps, for one target.
     void update(service_view& view, std::size_t index, mono_time now, membership_changes& changes,
--- a/libs/membership/src/service_view.cpp
+++ b/libs/membership/src/service_view.cpp
@@ -26,23 +26,37 @@
     }
 }
 
-bool service_view::suspects_most(const vm_name& own_vm, mono_time now,
-                                 const member_view_options& options) const
+bool service_view::suspects_most(const vm_name& own_vm) const
 {
     std::size_t others = 0;
-    std::size_t with_evidence = 0;
     std::size_t suspected = 0;
     for (std::size_t i = 0; i < members.size(); ++i) {
-        if (candidates[i].leaving || candidates[i].vm == own_vm) {
+        if (!candidates[i].leaving && candidates[i].vm != own_vm) {
+            ++others;
+            suspected += members[i].health.own_suspected() ? 1 : 0;
+        }
+    }
+    return suspected * 2 > others;
+}
+
+bool service_view::is_reportable(std::size_t index, const vm_name& own_vm) const
+{
+    const auto& target = members[index].health;
+    if (!target.own_suspected() || !target.failing() || candidates[index].leaving) {
+        return false;
+    }
+    const auto since = target.failing_since();
+    std::size_t failing = 1;
+    std::size_t answered = 0;
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        if (i == index || candidates[i].vm == own_vm) {
             continue;
         }
         const auto& health = members[i].health;
-        ++others;
-        suspected += health.own_suspected() ? 1 : 0;
-        with_evidence += health.own_suspected() || health.has_evidence(now, options) ? 1 : 0;
+        failing += health.failing() && health.last_result() >= since ? 1 : 0;
+        answered += !health.failing() && health.last_result() > since ? 1 : 0;
     }
-    // A node that is cut off notices it on the targets it calls most, before the others.
-    return suspected * 2 > others || (suspected >= 2 && suspected * 2 > with_evidence);
+    return answered > failing;
 }
 
 } // namespace trefoil
--- a/libs/membership/src/service_view.h
+++ b/libs/membership/src/service_view.h
@@ -30,9 +30,13 @@
     /// Finds the time of the next trial.
     void schedule_trials();
 
-    /// Whether the own calls suspect most of the service, or most of what they reached lately.
-    bool suspects_most(const vm_name& own_vm, mono_time now,
-                       const member_view_options& options) const;
+    /// Whether the own calls suspect most of the service.
+    bool suspects_most(const vm_name& own_vm) const;
+
+    /// Whether a suspicion may be reported to peers: since the target began to fail, more of the
+    /// other targets answered than failed. Otherwise the fault may be the node's own. A node that
+    /// is cut off has no success after the cut, so it reports none of the suspicions that follow.
+    bool is_reportable(std::size_t index, const vm_name& own_vm) const;
 };
 
 } // namespace trefoil
--- a/libs/membership/src/target_health.cpp
+++ b/libs/membership/src/target_health.cpp
@@ -32,9 +32,11 @@
                            const member_view_options& options)
 {
     last_result_ = now;
-    if (++failures_ >= options.failures_to_suspect && !own_suspected_) {
+    if (failures_ == 0) {
+        failing_since_ = now;
+    }
+    if (++failures_ >= options.failures_to_suspect) {
         own_suspected_ = true;
-        own_suspected_since_ = now;
         own_reason_ = reason;
     }
 }
@@ -58,6 +60,7 @@
 void target_health::discard_evidence(mono_time now)
 {
     failures_ = 0;
+    last_result_ = mono_time::min();
     reports_.clear();
     next_trial_ = now;
 }
@@ -87,11 +90,6 @@
     return true;
 }
 
-bool target_health::has_evidence(mono_time now, const member_view_options& options) const noexcept
-{
-    return is_recent(last_result_, now, options.evidence_lifetime);
-}
-
 void target_health::trial_started(mono_time now, const member_view_options& options)
 {
     trial_interval_ = std::min(trial_interval_ * 2, options.longest_trial_interval);
--- a/libs/membership/src/target_health.h
+++ b/libs/membership/src/target_health.h
@@ -32,8 +32,12 @@
     membership_reason reason() const noexcept { return reason_; }
     /// Suspected because of own calls, which is what peers are told.
     bool own_suspected() const noexcept { return own_suspected_; }
-    mono_time own_suspected_since() const noexcept { return own_suspected_since_; }
-    bool has_evidence(mono_time now, const member_view_options& options) const noexcept;
+    /// The latest own call failed.
+    bool failing() const noexcept { return failures_ > 0; }
+    /// When the present series of failures began; only while failing.
+    mono_time failing_since() const noexcept { return failing_since_; }
+    /// When the latest own call ended; mono_time::min() if there was none.
+    mono_time last_result() const noexcept { return last_result_; }
 
     /// When the next trial is due; only while suspected.
     mono_time next_trial() const noexcept { return next_trial_; }
@@ -45,7 +49,7 @@
     std::uint64_t seed_;
     std::uint32_t failures_ = 0;
     bool own_suspected_ = false;
-    mono_time own_suspected_since_;
+    mono_time failing_since_;
     bool suspected_ = false;
     membership_reason reason_ = membership_reason::none;
     membership_reason own_reason_ = membership_reason::none;
--- a/libs/membership/tests/member_view_test.cpp
+++ b/libs/membership/tests/member_view_test.cpp
@@ -154,7 +154,7 @@
     REQUIRE(view.candidates(called, now).empty());
     REQUIRE(view.status(vm_name("own")));
     view.start_leaving(now);
-    REQUIRE(view.report(now).leaving == std::vector{drain_mark{vm_name("own"), {1}}});
+    REQUIRE(view.report().leaving == std::vector{drain_mark{vm_name("own"), {1}}});
     REQUIRE(view.candidates(own_service, now).front().leaving);
 }
 
--- a/libs/membership/tests/suspicion_test.cpp
+++ b/libs/membership/tests/suspicion_test.cpp
@@ -20,12 +20,17 @@
             cut_off.push_back(make_view("cut-off-" + std::to_string(i)));
         }
         auto peer = make_view();
+        // The cut takes place after a healthy time, and some nodes still reach one target.
+        const std::chrono::milliseconds call_interval(20 + draw() % 480);
+        const bool reach_one = draw() % 2 == 0;
         for (int step = 0; step < 400; ++step) {
-            now += 50ms;
+            now += call_interval;
             for (auto& node : cut_off) {
-                call(node, vm(draw() % targets), call_evidence::failed);
+                const auto target = draw() % targets;
+                const bool fails = step >= 20 && (target > 0 || !reach_one);
+                call(node, vm(target), fails ? call_evidence::failed : call_evidence::answered);
                 node.tick(now);
-                peer.peer_reported(node.report(now), now);
+                peer.peer_reported(node.report(), now);
             }
             peer.tick(now);
             for (std::size_t i = 0; i < targets; ++i) {
@@ -38,6 +43,24 @@
     }));
 }
 
+// Guards against a node that keeps a true fault to itself: its peers would each have to find out.
+TEST_CASE_METHOD(member_view_fixture, "suspicion_of_one_target_among_working_ones_is_reported")
+{
+    auto view = make_view();
+    fail(view, vm(0));
+    REQUIRE(view.report().suspected.empty());
+    now += 1s;
+    call(view, vm(1), call_evidence::answered);
+    call(view, vm(2), call_evidence::refused);
+    REQUIRE(view.report().suspected == std::vector{vm(0)});
+    // Suspicion of most of the service withdraws what was reported.
+    for (std::size_t i = 3; i < targets; ++i) {
+        fail(view, vm(i));
+    }
+    REQUIRE(view.suspects_itself());
+    REQUIRE(view.report().suspected.empty());
+}
+
 // Guards against a single wrong peer, and against peers that overrule what a node's own calls show,
 // but also against a node that learns nothing from its peers.
 TEST_CASE_METHOD(member_view_fixture, "suspicion_by_peers_needs_two_and_yields_to_own_success")
@@ -50,7 +73,7 @@
     REQUIRE(!suspects(view, vm(0)));
     view.peer_reported(second, now);
     REQUIRE(suspects(view, vm(0)));
-    REQUIRE(view.report(now + 1h).suspected.empty());
+    REQUIRE(view.report().suspected.empty());
     call(view, vm(0), call_evidence::answered);
     REQUIRE(!suspects(view, vm(0)));
     view.peer_reported(second, now + 1s);
--- a/libs/quarantine/tests/crash_suspects_test.cpp
+++ b/libs/quarantine/tests/crash_suspects_test.cpp
@@ -4,7 +4,9 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <atomic>
 #include <random>
+#include <thread>
 
 using namespace trefoil;
 using namespace std::chrono_literals;
@@ -53,6 +55,41 @@
     REQUIRE(suspects.started(new_id(), {2}, now).decision == crash_decision::run_alone);
 }
 
+// Guards against races between the calls of a node's threads: two suspects at once, and requests
+// that stay registered.
+TEST_CASE_METHOD(crash_suspects_fixture,
+                 "crash_suspects_concurrent_threads_run_one_suspect_at_once")
+{
+    crash_with({1, 2, 3, 4});
+    std::atomic<int> running{0};
+    std::atomic<int> most{0};
+    const auto work = [&](std::uint64_t content) {
+        std::mt19937_64 draw(content);
+        for (int i = 0; i < 2000; ++i) {
+            const auto id = request_id::mint(wall_time{}, draw);
+            const auto verdict = suspects.started(id, {content}, now);
+            if (verdict.decision == crash_decision::run_alone) {
+                most = std::max(most.load(), ++running);
+                --running;
+            }
+            if (verdict.decision != crash_decision::refuse) {
+                suspects.abandoned(id, {content});
+            }
+            suspects.merge(vm_name("vm-9"), std::vector{peer_report(content + 9, {1})}, now);
+            suspects.reports(4, now);
+        }
+    };
+    std::vector<std::thread> threads;
+    for (std::uint64_t content = 1; content <= 4; ++content) {
+        threads.emplace_back(work, content);
+    }
+    for (auto& thread : threads) {
+        thread.join();
+    }
+    REQUIRE(most == 1);
+    REQUIRE(suspects.in_flight() == 0);
+}
+
 // Guards against an audit trail that hides or repeats changes.
 TEST_CASE_METHOD(crash_suspects_fixture, "crash_suspects_each_change_is_returned_once")
 {
@@ -84,10 +121,20 @@
         }
         suspects.merge(vm_name("vm-9"), std::vector{peer_report(content + 10000, {content})}, now);
         REQUIRE(suspects.size() <= 1024);
+        now += 10ms;
     }
     REQUIRE(suspects.size() == 1024);
     REQUIRE(suspects.decide(new_id(), {1}, now).decision == crash_decision::refuse);
     REQUIRE(suspects.reports(8, now).front().fingerprint == content_fingerprint{1});
+
+    crash_suspects full(vm_name("vm-1"), vm_incarnation{1});
+    for (std::uint64_t content = 0; content < 1024; ++content) {
+        full.merge(vm_name("vm-9"), std::vector{peer_report(content, {1, 2})}, now);
+    }
+    full.merge(vm_name("vm-9"), std::vector{peer_report(5000, {3})}, now);
+    for (std::uint64_t content = 0; content < 1024; ++content) {
+        REQUIRE(full.decide(new_id(), {content}, now).decision == crash_decision::refuse);
+    }
 }
 
 // Guards against a result that depends on the order in which reports arrive, or how often.
--- a/libs/routing/tests/retry_allowance_test.cpp
+++ b/libs/routing/tests/retry_allowance_test.cpp
@@ -6,7 +6,9 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <atomic>
 #include <random>
+#include <thread>
 
 using namespace trefoil;
 
@@ -165,6 +167,38 @@
     }));
 }
 
+// Guards against races that copy an allowance: calls of several threads for the same ids.
+TEST_CASE_METHOD(retry_allowance_fixture, "retry_allowance_concurrent_threads_move_but_never_copy")
+{
+    entry_allowances entry;
+    inbound_allowances inbound;
+    const auto id = new_id();
+    std::atomic<std::uint32_t> spent{0};
+    const auto work = [&] {
+        for (int i = 0; i < 2000; ++i) {
+            inbound.open(id, entry.begin({id, 0, std::nullopt, 1000000}, now));
+            {
+                call_allowance call(inbound.find(id));
+                call.send();
+                call.answered(call.left());
+                spent += call.spend_retry() ? 1 : 0;
+            }
+            entry.finish(id, inbound.close(id));
+        }
+    };
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 4; ++i) {
+        threads.emplace_back(work);
+    }
+    for (auto& thread : threads) {
+        thread.join();
+    }
+    // What is left is the first amount less one for each retry and for each of the repeats.
+    const auto left = entry.begin({id, 0, std::nullopt, 1000000}, now);
+    REQUIRE(left == 1000000 - spent - 8000);
+    REQUIRE(inbound.size() == 0);
+}
+
 TEST_CASE_METHOD(retry_allowance_fixture, "entry_allowances_statement_of_caller_only_lowers")
 {
     entry_allowances entry;
