--- a/libs/membership/include/membership/member_view.h
+++ b/libs/membership/include/membership/member_view.h
@@ -127,7 +127,8 @@
     /// Whether the node suspects most of some service, and therefore itself.
     bool suspects_itself() const;
 
-    /// What to tell peers.
+    /// What to tell peers. Leaves out all suspicions if the node suspects itself, and those of a
+    /// target unless more of its service's other targets answered than failed since.
     member_report report() const;
 
     list_revision revision() const;
