--- a/libs/base/include/base/versions.h
+++ b/libs/base/include/base/versions.h
@@ -12,6 +12,8 @@
     std::uint64_t value = 0;
 
     friend bool operator==(strong_number, strong_number) = default;
+    // clang-tidy 14 takes the literal 0 of a rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(strong_number, strong_number) = default;
     friend std::ostream& operator<<(std::ostream& out, strong_number n) { return out << n.value; }
 };
--- a/libs/once/src/member_list.cpp
+++ b/libs/once/src/member_list.cpp
@@ -11,8 +11,7 @@
     : revision_(revision), names_(std::move(names))
 {
     std::ranges::sort(names_);
-    const auto repeated = std::ranges::unique(names_);
-    names_.erase(repeated.begin(), repeated.end());
+    names_.erase(std::unique(names_.begin(), names_.end()), names_.end());
     name_hashes_.reserve(names_.size());
     for (const auto& name : names_) {
         name_hashes_.push_back(hash64(name.str()));
--- a/libs/once/tests/id_ledger_test.cpp
+++ b/libs/once/tests/id_ledger_test.cpp
@@ -24,6 +24,7 @@
     id_ledger ledger(options);
     std::atomic<int> recorded = 0;
     std::vector<std::jthread> threads;
+    threads.reserve(4);
     for (int t = 0; t < 4; ++t) {
         threads.emplace_back([&] {
             for (std::uint64_t n = 0; n < 2'000; ++n) {
@@ -88,6 +89,7 @@
     REQUIRE(rc::check([](std::uint64_t high, std::uint64_t low) {
         const int size = *rc::gen::inRange(2, 30);
         std::vector<vm_name> names;
+        names.reserve(static_cast<std::size_t>(size));
         for (int i = 0; i < size; ++i) {
             names.emplace_back("vm" + std::to_string(i));
         }
