--- a/apps/trefoilhold/src/command_line.cpp
+++ b/apps/trefoilhold/src/command_line.cpp
@@ -20,6 +20,7 @@
                            const std::vector<option_spec>& options)
 {
     std::vector<option> long_options;
+    long_options.reserve(options.size() + 1);
     for (const auto& spec : options) {
         const int key = first_key + static_cast<int>(long_options.size());
         long_options.push_back({spec.name.c_str(),
@@ -32,6 +33,7 @@
     auto words = arguments;
     words.insert(words.begin(), "trefoilhold");
     std::vector<char*> argv;
+    argv.reserve(words.size() + 1);
     for (auto& word : words) {
         argv.push_back(word.data());
     }
--- a/apps/trefoilhold/src/json_layout.cpp
+++ b/apps/trefoilhold/src/json_layout.cpp
@@ -70,7 +70,7 @@
 {
     const auto& members = object.as_object();
     const std::string margin(indent, ' ');
-    if (members.size() == 0) {
+    if (members.empty()) {
         return margin + name + ": (none)\n";
     }
     if (are_objects(members, [](const auto& member) { return member.second; })) {
@@ -104,7 +104,8 @@
                   std::vector<std::pair<std::string, std::string>>& fields)
 {
     for (const auto& [name, member] : object.as_object()) {
-        const auto full = prefix.empty() ? name : prefix + '.' + name;
+        std::string full = prefix;
+        full.append(prefix.empty() ? "" : ".").append(name);
         if (member.is_object()) {
             flatten_into(full, member, fields);
         }
--- a/libs/objects/tests/generators.h
+++ b/libs/objects/tests/generators.h
@@ -20,7 +20,7 @@
 
 inline double any_share()
 {
-    return *rc::gen::inRange<std::int64_t>(1, 1'000'000'000) / 4.0;
+    return static_cast<double>(*rc::gen::inRange<std::int64_t>(1, 1'000'000'000)) / 4.0;
 }
 
 template<class Object>
--- a/libs/wire/tests/vm_list_test.cpp
+++ b/libs/wire/tests/vm_list_test.cpp
@@ -33,7 +33,7 @@
         }
     }
 
-    static std::string with(std::string from, const std::string& to)
+    static std::string with(const std::string& from, const std::string& to)
     {
         std::string text =
             R"({"revision":7,"vms":[{"vm":"a","availability_zone":"bento","service":"s",)"
@@ -103,7 +103,7 @@
         CHECK_FALSE(is_read(with(from, to)));
     }
     auto twice = with("7", "7");
-    const auto entry = twice.substr(twice.find("{\"vm\""), twice.find("]") - twice.find("{\"vm\""));
-    twice.insert(twice.find("]"), "," + entry);
+    const auto entry = twice.substr(twice.find("{\"vm\""), twice.find(']') - twice.find("{\"vm\""));
+    twice.insert(twice.find(']'), "," + entry);
     REQUIRE_FALSE(is_read(twice));
 }
