--- a/apps/trefoilhold/src/fleet_command.cpp
+++ b/apps/trefoilhold/src/fleet_command.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace trefoil {
 
@@ -49,16 +50,21 @@
     return answers;
 }
 
-/// The part of a status that says who the node is and what it runs with; the rest is for `status`.
-web::json::value brief(const web::json::value& status)
+/// Scalars that say who the node is and what it runs with; the rest is for `status`.
+std::vector<std::pair<std::string, std::string>> brief(const web::json::value& status)
 {
-    auto part = web::json::value::object();
-    for (const char* name : {"node", "configuration", "lease"}) {
-        if (status.has_field(name)) {
-            part[name] = status.at(name);
+    std::vector<std::pair<std::string, std::string>> fields;
+    const std::vector<std::pair<std::string, std::string>> sections{
+        {"node", ""}, {"configuration", ""}, {"lease", "lease."}};
+    for (const auto& [section, prefix] : sections) {
+        if (!status.has_object_field(section)) {
+            continue;
+        }
+        for (auto& [name, text] : flatten(status.at(section))) {
+            fields.emplace_back(prefix + name, std::move(text));
         }
     }
-    return part;
+    return fields;
 }
 
 std::string configuration_of(const web::json::value& status)
@@ -70,7 +76,9 @@
     const auto field = [&](const char* name) {
         return configuration.has_field(name) ? cell_text(configuration.at(name)) : std::string("?");
     };
-    return field("version") + ':' + field("digest");
+    // A node without a configuration reports version 0; `none` is its form in `build --base`.
+    const auto version = field("version");
+    return version == "0" ? "none" : version + ':' + field("digest");
 }
 
 std::map<std::string, std::uint64_t> count_configurations(const std::vector<node_answer>& answers)
@@ -93,7 +101,7 @@
             continue;
         }
         std::vector<std::string> row{answer.node};
-        for (const auto& [name, text] : flatten(brief(answer.status))) {
+        for (const auto& [name, text] : brief(answer.status)) {
             auto it = std::ranges::find(table.header, name);
             if (it == table.header.end()) {
                 it = table.header.insert(it, name);
--- a/apps/trefoilhold/tests/node_commands_test.cpp
+++ b/apps/trefoilhold/tests/node_commands_test.cpp
@@ -82,8 +82,9 @@
     const fake_node two("/status", status_of("vm-2", 5));
     REQUIRE(run({"fleet", one.address(), two.address()}) == 0);
     REQUIRE(run({"fleet", one.address(), "127.0.0.1:1", two.address()}) == 6);
-    REQUIRE(out.find("vm-1") != std::string::npos);
-    REQUIRE(out.find("vm-2") != std::string::npos);
+    REQUIRE(out.find("  vm    digest  version\n") != std::string::npos);
+    REQUIRE(out.find("  vm-1  d       4\n") != std::string::npos);
+    REQUIRE(out.find("  vm-2  d       5\n") != std::string::npos);
     REQUIRE(out.find("configuration 4:d on 1 of 3 nodes\n") != std::string::npos);
     REQUIRE(err.find("127.0.0.1:1") != std::string::npos);
     REQUIRE(run({"fleet", "--json", one.address(), "127.0.0.1:1"}) == 6);
