--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -3,7 +3,7 @@
 # fleet_start DEPLOYMENT DIR CONTROL   DEPLOYMENT: a folder of samples/; CONTROL: true or false
 # fleet_stop                           ends every process that fleet_start started
 #
-# samples/DEPLOYMENT/topology.tsv has one line for each service:
+# samples/fleets/DEPLOYMENT/topology.tsv has one line for each service:
 #   service targets slots service_time_ms calls      (calls: kind=service,... or -)
 
 fleet_bin=${TREFOIL_BUILD_DIR:-build}/apps
@@ -104,7 +104,7 @@
     port=$(free_port_range)
     fleet_platform_port=$((port++))
     local zones
-    read -ra zones <"samples/$deployment/zones"
+    read -ra zones <"samples/fleets/$deployment/zones"
     "$fleet_bin/trefoilhold/trefoilhold" build --base none --out "$fleet_dir/bundle.toml" \
         samples/"$deployment"/*.toml
     local service targets slots time calls i index=0
@@ -127,7 +127,7 @@
                 --service-time-ms "$time" --node "${fleet_call[$vm]}" --seed "$index" \
                 "${call_options[@]}"
         done
-    done <"samples/$deployment/topology.tsv"
+    done <"samples/fleets/$deployment/topology.tsv"
     write_vm_list 1
     echo up >"$fleet_dir/platform.control"
     fleet_run platform "$fleet_bin/stand_in_platform/stand_in_platform" \
