--- a/libs/node/src/local_runner.cpp
+++ b/libs/node/src/local_runner.cpp
@@ -143,8 +143,12 @@
     const bool crash =
         result.status == exchange_status::lost && !result.timed_out && !c.cancel->cancelled();
     if (crash) {
-        log_.record(suspects_.crashed(boot_clock::now()));
+        const auto changes = suspects_.crashed(boot_clock::now());
+        log_.record(changes);
         note_upstream(false);
+        if (!changes.empty() && notify_crash_) {
+            notify_crash_();
+        }
     }
     else if (answered && told == outcome::complete) {
         log_.record(suspects_.completed(c.id, fingerprint(c), boot_clock::now()));
--- a/libs/node/src/local_runner.h
+++ b/libs/node/src/local_runner.h
@@ -10,6 +10,7 @@
 #include "quarantine/crash_suspects.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -23,6 +24,9 @@
 
     asio::awaitable<call_response> run(call& c);
 
+    /// Called after a crash of the upstream, so that peers hear of the suspects at once.
+    void on_crash(std::function<void()> notify) { notify_crash_ = std::move(notify); }
+
     /// Refuses calls from now on.
     void start_draining() noexcept { draining_ = true; }
     bool draining() const noexcept { return draining_; }
@@ -53,6 +57,7 @@
     crash_suspects& suspects_;
     change_log& log_;
     std::vector<std::unique_ptr<connection_pool>> pools_;
+    std::function<void()> notify_crash_;
     std::atomic<bool> draining_ = false;
     std::atomic<bool> upstream_up_ = true;
 };
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -49,6 +49,7 @@
                    }),
           control(server_options(own), control_pages())
     {
+        runner.on_crash([this] { peers.push_soon(); });
         published.set_listeners(
             {[this] { peers.push_soon(); }, [this](const vm_list& list) { list_known(list); }});
     }
--- a/libs/node/src/peer_link.cpp
+++ b/libs/node/src/peer_link.cpp
@@ -181,6 +181,11 @@
         report.leaving.push_back({leaving.vm, {leaving.incarnation}});
     }
     members_.peer_reported(report);
+    const auto crashes = suspects_.merge(message.header.from, message.crashes, boot_clock::now());
+    log_.record(crashes);
+    if (!crashes.empty()) {
+        push_soon(); // A quarantine must spread faster than the callers' repeats.
+    }
 }
 
 exchange_message peer_link::own_message()
@@ -196,6 +201,7 @@
         message.leaving.push_back({mark.vm, mark.incarnation.value});
     }
     message.suspected = report.suspected;
+    message.crashes = suspects_.reports(exchange_message::largest_crash_list, boot_clock::now());
     return message;
 }
 
--- a/libs/quarantine/include/quarantine/crash_report.h
+++ b/libs/quarantine/include/quarantine/crash_report.h
@@ -31,6 +31,8 @@
     std::chrono::milliseconds age{0};
     /// The content completed later, so that the crash does not count.
     bool released = false;
+
+    friend bool operator==(const crash_observation&, const crash_observation&) = default;
 };
 
 /// What one node tells its peers about one fingerprint, in the field `quarantined` of an exchange.
@@ -41,6 +43,8 @@
     std::vector<request_id> ids;
     /// False if there were more of them than are kept.
     bool ids_complete = true;
+
+    friend bool operator==(const crash_report&, const crash_report&) = default;
 };
 
 } // namespace trefoil
--- a/libs/spread/include/spread/exchange_message.h
+++ b/libs/spread/include/spread/exchange_message.h
@@ -2,6 +2,7 @@
 
 #include "base/names.h"
 #include "base/versions.h"
+#include "quarantine/crash_report.h"
 #include "spread/content_digest.h"
 #include "spread/invalid_message.h"
 #include "spread/message_header.h"
@@ -25,24 +26,14 @@
     friend bool operator==(const leaving_vm&, const leaving_vm&) = default;
 };
 
-/// Crashes of upstreams by requests with one content fingerprint. Times are ages, since the clocks
-/// of two nodes are never compared.
-struct crash_fingerprint {
-    std::uint64_t fingerprint = 0;
-    std::uint32_t crashes = 0;
-    /// Since the last crash.
-    std::chrono::milliseconds age{0};
-    /// Time left of the quarantine; 0: not quarantined.
-    std::chrono::milliseconds quarantined_for{0};
-
-    friend bool operator==(const crash_fingerprint&, const crash_fingerprint&) = default;
-};
-
 /// What a node tells a peer about itself and its views; both request and result of `exchange`.
 struct exchange_message {
     /// Entries of each list in one message. A sender with more puts the newest first; the rest is
     /// left out by to_json.
     static constexpr std::size_t largest_list = 128;
+    /// Crash reports in one message, and crashes and ids in one report.
+    static constexpr std::size_t largest_crash_list = 32;
+    static constexpr std::size_t largest_crash_report = 8;
     /// Longer ages are sent as this one, which keeps conversions to nanoseconds in range.
     static constexpr std::chrono::milliseconds largest_age = std::chrono::hours(24 * 30);
 
--- a/libs/spread/src/exchange_message.cpp
+++ b/libs/spread/src/exchange_message.cpp
@@ -26,10 +26,10 @@
 }
 
 template<class Entries, class Write>
-Json::Value list_value(const Entries& entries, Write write)
+Json::Value list_value(const Entries& entries, Write write, std::size_t largest = largest_list)
 {
     Json::Value list(Json::arrayValue);
-    for (std::size_t i = 0; i < std::min(entries.size(), largest_list); ++i) {
+    for (std::size_t i = 0; i < std::min(entries.size(), largest); ++i) {
         list.append(write(entries[i]));
     }
     return list;
@@ -43,16 +43,73 @@
     return value;
 }
 
-Json::Value crash_value(const crash_fingerprint& crash)
+Json::Value observation_value(const crash_observation& observation)
 {
     Json::Value value;
-    value["fingerprint"] = Json::UInt64{crash.fingerprint};
-    value["crashes"] = crash.crashes;
-    value["age_ms"] = age_value(crash.age);
-    value["quarantined_ms"] = age_value(crash.quarantined_for);
+    value["vm"] = observation.crash.vm.str();
+    value["incarnation"] = Json::UInt64{observation.crash.incarnation.value};
+    value["ordinal"] = Json::UInt64{observation.crash.ordinal};
+    value["age_ms"] = age_value(observation.age);
+    value["released"] = observation.released;
     return value;
 }
 
+Json::Value crash_value(const crash_report& report)
+{
+    Json::Value value;
+    value["fingerprint"] = report.fingerprint.to_string();
+    value["crashes"] =
+        list_value(report.crashes, observation_value, exchange_message::largest_crash_report);
+    value["ids"] = list_value(
+        report.ids, [](const request_id& id) { return Json::Value(id.to_string()); },
+        exchange_message::largest_crash_report);
+    // A shortened list of ids must not look complete: it decides between not-run and unknown.
+    value["ids_complete"] =
+        report.ids_complete && report.ids.size() <= exchange_message::largest_crash_report;
+    return value;
+}
+
+crash_observation read_observation(const Json::Value& entry)
+{
+    crash_observation observation;
+    observation.crash.vm = vm_name(read_text(entry, "vm", largest_name_bytes));
+    observation.crash.incarnation = {read_number(entry, "incarnation")};
+    observation.crash.ordinal = read_number(entry, "ordinal");
+    observation.age = read_age(entry, "age_ms");
+    observation.released = read_flag(entry, "released");
+    return observation;
+}
+
+request_id read_id(const Json::Value& entry)
+{
+    try {
+        return request_id::parse(entry.isString() ? entry.asString() : std::string());
+    }
+    catch (const invalid_request_id& e) {
+        throw invalid_message(e.what());
+    }
+}
+
+crash_report read_crash(const Json::Value& entry)
+{
+    crash_report report;
+    const auto fingerprint =
+        content_fingerprint::parse(read_text(entry, "fingerprint", largest_name_bytes));
+    if (!fingerprint) {
+        throw invalid_message("'fingerprint' is not a fingerprint");
+    }
+    report.fingerprint = *fingerprint;
+    constexpr auto largest = exchange_message::largest_crash_report;
+    for (const auto& observation : read_array(entry, "crashes", largest)) {
+        report.crashes.push_back(read_observation(observation));
+    }
+    for (const auto& id : read_array(entry, "ids", largest)) {
+        report.ids.push_back(read_id(id));
+    }
+    report.ids_complete = read_flag(entry, "ids_complete");
+    return report;
+}
+
 } // namespace
 
 exchange_message read_exchange(const Json::Value& object)
@@ -78,11 +135,8 @@
         }
         message.suspected.emplace_back(entry.asString());
     }
-    for (const auto& entry : read_array(object, "crashes", largest_list)) {
-        message.crashes.push_back(
-            {read_number(entry, "fingerprint"),
-             static_cast<std::uint32_t>(read_number(entry, "crashes", UINT32_MAX)),
-             read_age(entry, "age_ms"), read_age(entry, "quarantined_ms")});
+    for (const auto& entry : read_array(object, "crashes", exchange_message::largest_crash_list)) {
+        message.crashes.push_back(read_crash(entry));
     }
     return message;
 }
@@ -100,7 +154,8 @@
     object["leaving"] = list_value(message.leaving, leaving_value);
     object["suspected"] =
         list_value(message.suspected, [](const vm_name& vm) { return Json::Value(vm.str()); });
-    object["crashes"] = list_value(message.crashes, crash_value);
+    object["crashes"] =
+        list_value(message.crashes, crash_value, exchange_message::largest_crash_list);
 }
 
 std::string to_json(const exchange_message& message)
