--- a/apps/overload_experiment/any_controller.cpp
+++ b/apps/overload_experiment/any_controller.cpp
@@ -1,11 +1,13 @@
 #include "any_controller.h"
 
 #include "admission/aimd_limit.h"
+#include "admission/default_limit.h"
 #include "admission/gradient_limit.h"
 #include "admission/queue_delay_limit.h"
 #include "admission/static_limit.h"
 
 #include <stdexcept>
+#include <type_traits>
 
 namespace trefoil::experiment {
 
@@ -51,6 +53,12 @@
     return names;
 }
 
+std::string default_limit_name()
+{
+    static_assert(std::is_same_v<default_limit, aimd_limit>);
+    return "aimd";
+}
+
 std::unique_ptr<any_controller> make_controller(std::string_view limit_name,
                                                 const admission_policy& policy, std::uint64_t seed)
 {
--- a/apps/overload_experiment/any_controller.h
+++ b/apps/overload_experiment/any_controller.h
@@ -25,6 +25,9 @@
 /// Names accepted by make_controller.
 const std::vector<std::string>& limit_names();
 
+/// Name of the limit that the node uses.
+std::string default_limit_name();
+
 /// Throws std::invalid_argument for an unknown name.
 std::unique_ptr<any_controller> make_controller(std::string_view limit_name,
                                                 const admission_policy& policy, std::uint64_t seed);
--- a/apps/overload_experiment/main.cpp
+++ b/apps/overload_experiment/main.cpp
@@ -1,4 +1,5 @@
 #include "any_controller.h"
+#include "check.h"
 #include "report.h"
 #include "run.h"
 
@@ -20,6 +21,7 @@
     "  --topology=NAME  run only one-target or three-services\n"
     "  --scenario=NAME  run only this scenario\n"
     "  --limit=NAME     run only this limit, and no control\n"
+    "  --check          run only the default limit; exit status 1 if it misses a target\n"
     "  --seed=N         seed of arrivals and work times (default 1)\n"
     "  --help           print this text\n"
     "\n"
@@ -32,6 +34,7 @@
 struct settings {
     bool json = false;
     bool help = false;
+    bool check = false;
     std::string topology;
     std::string scenario;
     std::string limit;
@@ -41,10 +44,11 @@
 /// Returns false on an option that is not known.
 bool parse(int argc, char** argv, settings& s)
 {
-    const std::array<option, 7> options = {{{"json", no_argument, nullptr, 'j'},
+    const std::array<option, 8> options = {{{"json", no_argument, nullptr, 'j'},
                                             {"topology", required_argument, nullptr, 't'},
                                             {"scenario", required_argument, nullptr, 'c'},
                                             {"limit", required_argument, nullptr, 'l'},
+                                            {"check", no_argument, nullptr, 'k'},
                                             {"seed", required_argument, nullptr, 's'},
                                             {"help", no_argument, nullptr, 'h'},
                                             {nullptr, 0, nullptr, 0}}};
@@ -65,6 +69,9 @@
         case 's':
             s.seed = std::stoull(optarg);
             break;
+        case 'k':
+            s.check = true;
+            break;
         case 'h':
             s.help = true;
             break;
@@ -79,7 +86,10 @@
 {
     using namespace trefoil::experiment;
     std::vector<std::string> controls = {"off"};
-    if (s.limit.empty()) {
+    if (s.check) {
+        controls = {default_limit_name()};
+    }
+    else if (s.limit.empty()) {
         controls.insert(controls.end(), limit_names().begin(), limit_names().end());
     }
     else {
@@ -106,6 +116,19 @@
     return figures;
 }
 
+/// Prints the missed targets and returns whether there are any.
+bool report_missed(const std::vector<trefoil::experiment::run_figures>& figures)
+{
+    bool any = false;
+    for (const auto& f : figures) {
+        for (const auto& line : trefoil::experiment::missed_targets(f)) {
+            std::cerr << "missed: " << line << '\n';
+            any = true;
+        }
+    }
+    return any;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -127,6 +150,9 @@
         else {
             trefoil::experiment::print_table(std::cout, figures);
         }
+        if (s.check) {
+            return report_missed(figures) ? 1 : 0;
+        }
     }
     catch (const std::exception& e) {
         std::cerr << "overload_experiment: " << e.what() << '\n';
