--- a/apps/overload_experiment/call.h
+++ b/apps/overload_experiment/call.h
@@ -39,7 +39,8 @@
     /// When it was handed to the upstream, and when its work began.
     mono_time handed_off;
     mono_time work_began;
-    std::shared_ptr<call> child;
+    /// The call it waits for, which keeps this one alive through its on_answer.
+    std::weak_ptr<call> child;
     std::uint32_t child_retries = 0;
     answer result;
     /// Work that this call and the calls below it consumed.
--- a/apps/overload_experiment/callers.cpp
+++ b/apps/overload_experiment/callers.cpp
@@ -86,9 +86,11 @@
             return;
         }
     }
-    c->on_answer = [this, r, raw = c.get()](const answer& a) {
-        if (!r->done && r->current.get() == raw) {
-            answered(r, r->current, a);
+    // The event at the deadline keeps the request alive; the call must not, since it belongs to it.
+    c->on_answer = [this, weak = std::weak_ptr(r), raw = c.get()](const answer& a) {
+        const auto open = weak.lock();
+        if (open && !open->done && open->current.get() == raw) {
+            answered(open, open->current, a);
         }
     };
     r->current = c;
--- a/apps/overload_experiment/target_node.cpp
+++ b/apps/overload_experiment/target_node.cpp
@@ -132,7 +132,7 @@
     child->admit_point = c->admit_point;
     child->deadline = c->deadline;
     child->on_answer = [this, c, raw = child.get()](const answer& a) {
-        if (c->now == call::state::calling && c->child.get() == raw) {
+        if (c->now == call::state::calling && c->child.lock().get() == raw) {
             child_answered(c, a);
         }
     };
@@ -141,7 +141,7 @@
     loop_.after(constants_.network_one_way, [&next, child] { next.receive(child); });
     if (controller_ == nullptr) {
         loop_.after(constants_.attempt_timeout, [this, c, child] {
-            if (c->now == call::state::calling && c->child == child) {
+            if (c->now == call::state::calling && c->child.lock() == child) {
                 child_answered(c, {});
             }
         });
@@ -150,7 +150,7 @@
 
 void target_node::child_answered(const call_ptr& c, const answer& a)
 {
-    c->work_done += c->child->work_done;
+    c->work_done += c->child.lock()->work_done;
     c->result = a;
     if (!a.ok && controller_ == nullptr && c->child_retries < constants_.hop_retries) {
         ++c->child_retries;
@@ -212,7 +212,7 @@
         free_slot();
         break;
     case call::state::calling:
-        route_(model_.kinds[c->kind].path[c->hop + 1]).cancel(c->child);
+        route_(model_.kinds[c->kind].path[c->hop + 1]).cancel(c->child.lock());
         c->child.reset();
         free_slot();
         break;
