--- a/libs/admission/tests/admission_controller_test.cpp
+++ b/libs/admission/tests/admission_controller_test.cpp
@@ -135,3 +135,23 @@
     const refusal_count expected{rank_index{0}, group_index{0}, refusal_reason::unknown_object, 1};
     CHECK(s.refusals == std::vector{expected});
 }
+
+// Guards against a slot or a place in the queue that a caller who left keeps.
+TEST_CASE_METHOD(admission_controller_fixture, "admission_controller_cancelled_work_makes_room")
+{
+    std::vector<admission_ticket> running;
+    for (std::uint32_t i = 0; i < slots; ++i) {
+        running.push_back(offer(0, 0).ticket);
+    }
+    const auto leaves = offer(0, 0);
+    const auto stays = offer(0, 0);
+    const auto dropped = controller.cancel(leaves.ticket, now);
+    CHECK(dropped.started.empty());
+    CHECK(dropped.refused.empty());
+    CHECK(controller.cancel(running.front(), now).started == std::vector{stays.ticket});
+    const auto s = controller.snapshot(now);
+    const refusal_count expected{rank_index{0}, group_index{0}, refusal_reason::cancelled, 1};
+    CHECK(s.refusals == std::vector{expected});
+    CHECK(s.queued_by_rank.at(0) == 0);
+    CHECK(controller.admit_fraction(kind_index{0}, group_index{0}) == 1.0);
+}
