--- a/apps/load_driver/driver.cpp
+++ b/apps/load_driver/driver.cpp
@@ -162,7 +162,8 @@
     for (std::uint32_t attempt = 0; attempt <= f.caller_retries; ++attempt) {
         tally_.add_send(phase_name, f.kind, f.group);
         const auto entry = load_.entries[random_() % load_.entries.size()];
-        const auto result = co_await send_once(f, id, attempt, deadline, entry);
+        const auto give_up = std::min(deadline, steady_clock::now() + f.attempt_timeout);
+        const auto result = co_await send_once(f, id, attempt, give_up, entry);
         std::string reason;
         outcome = judge(f, id, result, reason);
         if (outcome == verdict::complete || outcome == verdict::wrong_answer) {
--- a/apps/load_driver/workload.cpp
+++ b/apps/load_driver/workload.cpp
@@ -14,6 +14,8 @@
     f.service = table["service"].value_or(std::string());
     f.rate = table["rate"].value_or(1.0);
     f.deadline = std::chrono::milliseconds(table["deadline_ms"].value_or(std::int64_t{2000}));
+    f.attempt_timeout =
+        std::chrono::milliseconds(table["attempt_ms"].value_or(std::int64_t{f.deadline.count()}));
     f.expect = table["expect"].value_or(std::string());
     f.caller_retries = table["caller_retries"].value_or(std::uint32_t{0});
     f.once_only = table["once_only"].value_or(false);
--- a/apps/load_driver/workload.h
+++ b/apps/load_driver/workload.h
@@ -23,6 +23,8 @@
     /// Mean arrivals per second in a phase without a multiplier.
     double rate = 1.0;
     std::chrono::milliseconds deadline{2000};
+    /// A caller waits this long for one answer, then sends again.
+    std::chrono::milliseconds attempt_timeout{2000};
     /// Answer with `%` in place of the root request id.
     std::string expect;
     /// Repeats by the caller itself after an answer that is not complete.
--- a/apps/spread_slopes/main.cpp
+++ b/apps/spread_slopes/main.cpp
@@ -107,7 +107,12 @@
     const vm_name name("vm-pedidos-0012");
     message.leaving.resize(exchange_message::largest_list, {name, message.header.incarnation});
     message.suspected.resize(exchange_message::largest_list, name);
-    message.crashes.resize(exchange_message::largest_list, {UINT64_MAX, 2, 60s, 59s});
+    crash_report report{{UINT64_MAX}, {}, {}, true};
+    report.crashes.resize(exchange_message::largest_crash_report,
+                          {{name, {message.header.incarnation}, 2}, 60s, false});
+    report.ids.resize(exchange_message::largest_crash_report,
+                      request_id::from_parts(wall_time(1700000000000ms), 1, 2));
+    message.crashes.resize(exchange_message::largest_crash_list, report);
     return message;
 }
 
--- a/libs/node/src/admission_gate.cpp
+++ b/libs/node/src/admission_gate.cpp
@@ -19,7 +19,7 @@
     const std::lock_guard lock(mutex_);
     if (!controller_) {
         controller_ =
-            std::make_unique<admission_controller<node_limit>>(policy, std::random_device{}());
+            std::make_unique<admission_controller<default_limit>>(policy, std::random_device{}());
         return;
     }
     apply(controller_->replace_policy(policy, now));
--- a/libs/node/src/admission_gate.h
+++ b/libs/node/src/admission_gate.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "admission/admission_controller.h"
-#include "admission/queue_delay_limit.h"
+#include "admission/default_limit.h"
 #include "call_io/asio.h"
 #include "call_io/cancel_token.h"
 
@@ -13,9 +13,6 @@
 
 namespace trefoil {
 
-/// The limit algorithm in use; docs/design.md gives the measurement that chose it.
-using node_limit = queue_delay_limit;
-
 /// A slot of the upstream, or the reason why there is none.
 struct admission_outcome {
     bool admitted = false;
@@ -71,7 +68,7 @@
     std::vector<asio::io_context*> contexts_;
     asio::steady_timer wakeup_;
     mutable std::mutex mutex_;
-    std::unique_ptr<admission_controller<node_limit>> controller_;
+    std::unique_ptr<admission_controller<default_limit>> controller_;
     std::unordered_map<std::uint64_t, std::shared_ptr<waiter>> waiters_;
     mono_time armed_for_ = mono_time::max();
 };
--- a/libs/spread/include/spread/exchange_message.h
+++ b/libs/spread/include/spread/exchange_message.h
@@ -46,7 +46,7 @@
     std::optional<std::chrono::milliseconds> contact_age = {};
     std::vector<leaving_vm> leaving = {};
     std::vector<vm_name> suspected = {};
-    std::vector<crash_fingerprint> crashes = {};
+    std::vector<crash_report> crashes = {};
 
     friend bool operator==(const exchange_message&, const exchange_message&) = default;
 };
