--- a/libs/once/src/list_history.cpp
+++ b/libs/once/src/list_history.cpp
@@ -26,8 +26,10 @@
 
 void list_history::merge(const reported_list& report, mono_time now)
 {
-    remember(member_list(report.revision, report.members), now - report.age,
-             report.age == report.age.zero());
+    // An age outside these limits has no meaning and would overflow the clock.
+    const auto age = std::clamp<std::chrono::milliseconds>(report.age, std::chrono::milliseconds(0),
+                                                           std::chrono::hours(1));
+    remember(member_list(report.revision, report.members), now - age, age == age.zero());
 }
 
 void list_history::remember(member_list list, mono_time last_in_force, bool first_hand)
--- a/libs/once/tests/lease_test.cpp
+++ b/libs/once/tests/lease_test.cpp
@@ -76,7 +76,7 @@
 TEST_CASE_METHOD(lease_fixture, "lease_with_late_answer_counts_from_sending")
 {
     const auto now = change_list("abc", "abcd");
-    answer("bc", now, now + 1500ms);
+    answer("bcd", now, now + 1500ms);
     REQUIRE(lease.holds(now + 1999ms));
     REQUIRE_FALSE(lease.holds(now + 2000ms));
 }
--- a/libs/once/tests/once_model.cpp
+++ b/libs/once/tests/once_model.cpp
@@ -145,6 +145,7 @@
     self.guard =
         std::make_unique<once_guard>(once_options{}, self.name, service_name("s"), mono(n));
     self.list = {};
+    self.members = {};
     on_node(n, now_ + draw(0, 200), [this, n] {
         // The platform may be stale for a node that starts.
         const auto newest = static_cast<ms>(published_.size()) - 1;
@@ -157,7 +158,7 @@
 {
     step(n, false, [this, n](mono_time m, wall_time w) {
         if (nodes_[n].guard->holds_lease(mono(n))) {
-            check_lease(n, members_of(n), "two leases");
+            check_lease(n, nodes_[n].members, "two leases");
         }
         for (const auto& call : nodes_[n].guard->poll(m, w, random_())) {
             const int peer = index_of(call.peer);
@@ -182,6 +183,7 @@
 {
     if (list.revision > nodes_[n].list.revision) {
         nodes_[n].list = list;
+        nodes_[n].members = member_list::of_service(list, service_name("s"));
     }
     nodes_[n].guard->update_list(list, mono(n));
 }
@@ -210,11 +212,6 @@
     }
 }
 
-member_list world::members_of(int n) const
-{
-    return member_list::of_service(nodes_[n].list, service_name("s"));
-}
-
 int world::index_of(const vm_name& name) const
 {
     return static_cast<int>(std::ranges::find(nodes_, name, &node::name) - nodes_.begin());
--- a/libs/once/tests/once_model.h
+++ b/libs/once/tests/once_model.h
@@ -69,6 +69,7 @@
         bool alive = true;
         std::unique_ptr<trefoil::once_guard> guard;
         trefoil::vm_list list;
+        trefoil::member_list members;
         ms paused_until = 0;
         ms skew = 0;
         double rate = 1.0;
@@ -129,7 +130,6 @@
     bool in_residual_case(const trefoil::member_list& a, const trefoil::member_list& b) const;
     /// No other node may hold a lease for other members than those under which node n acts.
     void check_lease(int n, const trefoil::member_list& members, const std::string& what);
-    trefoil::member_list members_of(int n) const;
     void check(const request& r);
 
     scenario scenario_;
--- a/libs/once/tests/once_model_calls.cpp
+++ b/libs/once/tests/once_model_calls.cpp
@@ -35,7 +35,7 @@
                 req.highest_not_run = std::max(req.highest_not_run, attempt);
             }
         };
-        const auto members = members_of(entry);
+        const auto& members = nodes_[entry].members;
         const auto* owner = owner_of(requests_[r].id, members);
         if (owner == nullptr) {
             answer(outcome_without_ownership(attempt_of(requests_[r].states_attempt, attempt)));
@@ -67,7 +67,7 @@
 {
     const reply answer = [=, this](outcome told) {
         if (told == outcome::not_run) {
-            requests_[r].not_run.push_back({attempt, members_of(n)});
+            requests_[r].not_run.push_back({attempt, nodes_[n].members});
         }
         to_entry(told);
     };
@@ -112,7 +112,7 @@
             return;
         }
         const auto expires = std::get<trefoil::hand_off>(decision).expires_at;
-        const auto members = members_of(n);
+        const auto members = nodes_[n].members;
         on_node(n, now_ + hiccup(), [=, this] {
             // The upstream outlives its node's process and may start the work late.
             at(now_ + 1 + hiccup(),
@@ -170,7 +170,7 @@
         if (other == n || !o.alive || !o.guard->holds_lease(mono(other))) {
             continue;
         }
-        const auto theirs = members_of(other);
+        const auto& theirs = nodes_[other].members;
         if (theirs.digest() == members.digest()) {
             continue;
         }
