--- a/apps/load_driver/driver.cpp
+++ b/apps/load_driver/driver.cpp
@@ -10,7 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <set>
+#include <map>
 
 using namespace trefoil;
 namespace http = boost::beast::http;
@@ -108,16 +108,14 @@
 
 asio::awaitable<void> driver::compare_records()
 {
-    std::set<std::string> kinds;
+    std::map<std::string, bool> kinds;
     for (const auto& f : load_.flows) {
-        if (f.once_only) {
-            kinds.insert(f.kind);
-        }
+        kinds[f.kind] = f.once_only;
     }
-    for (const auto& kind : kinds) {
+    for (const auto& [kind, once_only] : kinds) {
         for (const auto& u : load_.upstreams) {
             const auto record = co_await get(u.address, "/stand-in/record?kind=" + kind);
-            tally_.add_record(u.service, kind, record);
+            tally_.add_record(u.service, kind, once_only, record);
         }
     }
 }
@@ -159,6 +157,7 @@
     const auto id = request_id::mint(wall_now(), random_).to_string();
     tally_.add_offered(phase_name, f.kind, f.group);
     auto outcome = verdict::failed;
+    bool always_refused = true;
     for (std::uint32_t attempt = 0; attempt <= f.caller_retries; ++attempt) {
         tally_.add_send(phase_name, f.kind, f.group);
         const auto entry = load_.entries[random_() % load_.entries.size()];
@@ -166,6 +165,7 @@
         const auto result = co_await send_once(f, id, attempt, give_up, entry);
         std::string reason;
         outcome = judge(f, id, result, reason);
+        always_refused = always_refused && outcome == verdict::not_run;
         if (outcome == verdict::complete || outcome == verdict::wrong_answer) {
             break;
         }
@@ -182,6 +182,10 @@
         boost::system::error_code error;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
     }
+    // For once-only work the last answer speaks of the id; for other work, of one send.
+    if (outcome == verdict::not_run && (f.once_only || always_refused)) {
+        tally_.add_told_not_run(f.kind, id);
+    }
     const auto bucket = static_cast<std::size_t>((arrived - start_) / tally::bucket);
     tally_.add_verdict(
         phase_name, f.kind, f.group, outcome,
@@ -203,7 +207,7 @@
     set_header(request, call_headers::attempt, std::to_string(attempt));
     set_header(request, call_headers::deadline_ms,
                std::to_string(std::max<std::int64_t>(left.count(), 1)));
-    request.body() = id;
+    request.body() = load_.fixed_body.empty() ? id : load_.fixed_body;
     request.prepare_payload();
     cancel_token cancel;
     auto result = co_await pool_.exchange(entry, request, {.deadline = deadline}, cancel);
--- a/apps/load_driver/tally.cpp
+++ b/apps/load_driver/tally.cpp
@@ -74,7 +74,13 @@
     }
 }
 
-void tally::add_record(const std::string& service, const std::string& kind, const std::string& json)
+void tally::add_told_not_run(const std::string& kind, const std::string& root)
+{
+    told_not_run_[kind].insert(root);
+}
+
+void tally::add_record(const std::string& service, const std::string& kind, bool once_only,
+                       const std::string& json)
 {
     Json::Value record;
     const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
@@ -84,13 +90,19 @@
     }
     const auto& roots = record["kinds"][kind]["roots"];
     for (const auto& root : roots.getMemberNames()) {
-        runs_[service + "/" + kind][root] += roots[root].asUInt64();
+        if (once_only) {
+            runs_[service + "/" + kind][root] += roots[root].asUInt64();
+        }
+        if (told_not_run_[kind].contains(root)) {
+            ran_although_not_run_.insert(root);
+        }
     }
 }
 
 std::string tally::to_json() const
 {
     Json::Value out;
+    out["ran_although_not_run"] = Json::UInt64{ran_although_not_run_.size()};
     out["unread_records"] = Json::UInt64{unread_records_};
     for (const auto& [name, roots] : runs_) {
         Json::UInt64 repeated = 0;
--- a/apps/load_driver/tally.h
+++ b/apps/load_driver/tally.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,9 +33,13 @@
     void add_verdict(const std::string& phase, const std::string& kind, const std::string& group,
                      verdict v, std::chrono::microseconds latency, std::size_t arrival_bucket);
 
+    /// The caller was told that the work of this request did not run.
+    void add_told_not_run(const std::string& kind, const std::string& root);
+
     /// Adds what one upstream of a service says it ran of a kind (JSON of the stand-in). Without an
     /// answer the upstream counts as unread, since its process was replaced.
-    void add_record(const std::string& service, const std::string& kind, const std::string& json);
+    void add_record(const std::string& service, const std::string& kind, bool once_only,
+                    const std::string& json);
 
     std::string to_json() const;
 
@@ -47,5 +52,8 @@
     std::map<std::string, std::map<std::size_t, std::uint64_t>> all_by_bucket_;
     /// Runs by service and kind, then by root request.
     std::map<std::string, std::map<std::string, std::uint64_t>> runs_;
+    std::map<std::string, std::set<std::string>> told_not_run_;
+    /// Requests of which a caller was told `not-run` although an upstream ran them.
+    std::set<std::string> ran_although_not_run_;
     std::uint64_t unread_records_ = 0;
 };
--- a/apps/load_driver/workload.cpp
+++ b/apps/load_driver/workload.cpp
@@ -71,6 +71,7 @@
     try {
         const auto root = toml::parse_file(file);
         w.seed = root["seed"].value_or(std::uint32_t{1});
+        w.fixed_body = root["fixed_body"].value_or(std::string());
         w.impatient = root["impatient"].value_or(true);
         if (const auto* entries = root["entries"].as_array()) {
             for (const auto& entry : *entries) {
--- a/apps/load_driver/workload.h
+++ b/apps/load_driver/workload.h
@@ -54,6 +54,8 @@
     std::vector<phase> phases;
     std::vector<recorded_upstream> upstreams;
     std::uint32_t seed = 1;
+    /// Body of every request; empty: the request's id.
+    std::string fixed_body;
     /// Callers repeat at once; otherwise they wait as long as the answer tells them.
     bool impatient = true;
 };
--- a/apps/measures/main.cpp
+++ b/apps/measures/main.cpp
@@ -71,7 +71,7 @@
 {
     std::printf(
         "  %-12s requests %llu, complete %llu, wrong answers %llu, once-only work run %llu, "
-        "run twice %llu\n",
+        "run twice %llu, run although told not-run %llu\n",
         label, static_cast<unsigned long long>(run.total(&kind_counts::offered)),
         static_cast<unsigned long long>(run.total(&kind_counts::complete)),
         static_cast<unsigned long long>(run.total(&kind_counts::wrong)),
--- a/apps/measures/run_results.cpp
+++ b/apps/measures/run_results.cpp
@@ -53,5 +53,6 @@
         results.once_only_ran += root["once_only"][name]["ran"].asUInt64();
         results.ran_twice += root["once_only"][name]["ran_twice"].asUInt64();
     }
+    results.ran_although_not_run = root["ran_although_not_run"].asUInt64();
     return results;
 }
--- a/apps/measures/run_results.h
+++ b/apps/measures/run_results.h
@@ -26,6 +26,7 @@
     std::map<std::string, std::map<std::uint64_t, kind_counts>> timeline;
     std::uint64_t ran_twice = 0;
     std::uint64_t once_only_ran = 0;
+    std::uint64_t ran_although_not_run = 0;
 
     std::uint64_t total(std::uint64_t kind_counts::*field) const;
 };
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -106,7 +106,7 @@
     local zones
     read -ra zones <"samples/fleets/$deployment/zones"
     "$fleet_bin/trefoilhold/trefoilhold" build --base none --out "$fleet_dir/bundle.toml" \
-        samples/"$deployment"/*.toml
+        "${fleet_objects:-samples/$deployment}"/*.toml
     local service targets slots time calls i index=0
     while IFS=$'\t' read -r service targets slots time calls; do
         [[ $service != \#* ]] || continue
