Test call_io, and read the rest of a refused request before closing

Cause: after a 4xx answer the listener closed the connection with unread bytes, which resets it. A caller that was still writing an oversized body got a broken pipe instead of the answer. At most 8 MiB are read, for at most 10 s.

--- a/libs/call_io/include/call_io/call_listener.h
+++ b/libs/call_io/include/call_io/call_listener.h
@@ -20,7 +20,8 @@
 class call_listener {
 public:
     /// Binds and listens at once. Throws boost::system::system_error if the port is not free.
-    call_listener(std::vector<asio::io_context*> shards, tcp::endpoint local, call_handler handler);
+    call_listener(std::vector<asio::io_context*> shards, const tcp::endpoint& local,
+                  call_handler handler);
 
     /// Starts to accept. The listener must outlive the io_contexts' threads.
     void start();
--- a/libs/call_io/src/call_listener.cpp
+++ b/libs/call_io/src/call_listener.cpp
@@ -15,6 +15,7 @@
 
 #include <sys/socket.h>
 
+#include <array>
 #include <atomic>
 #include <cerrno>
 #include <chrono>
@@ -35,6 +36,10 @@
 constexpr std::chrono::seconds read_timeout{10};
 constexpr std::chrono::seconds write_timeout{10};
 
+/// Bytes of a refused request that are read after its answer. Several times the largest body, since
+/// a peer that is above the limit is usually so by a small factor.
+constexpr std::size_t max_discarded = 8 * call_headers::max_body_bytes;
+
 call_response error_response(http::status status, std::string_view detail)
 {
     call_response response(status, 11);
@@ -114,10 +119,25 @@
         if (is_parse_error) {
             auto response = error_response(status_of(error), error.message());
             co_await write(response);
+            co_await discard_rest();
         }
         co_return false;
     }
 
+    /// Closing a connection with unread bytes resets it, and a peer that is still writing would
+    /// then not get the answer.
+    asio::awaitable<void> discard_rest()
+    {
+        boost::system::error_code error;
+        stream_.socket().shutdown(tcp::socket::shutdown_send, error);
+        stream_.expires_after(read_timeout);
+        std::array<char, 4096> bytes{};
+        for (std::size_t discarded = 0; !error && discarded < max_discarded;) {
+            discarded += co_await stream_.async_read_some(
+                asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+        }
+    }
+
     asio::awaitable<bool> write(call_response& response)
     {
         boost::system::error_code error;
@@ -154,7 +174,7 @@
 
 } // namespace
 
-call_listener::call_listener(std::vector<asio::io_context*> shards, tcp::endpoint local,
+call_listener::call_listener(std::vector<asio::io_context*> shards, const tcp::endpoint& local,
                              call_handler handler)
     : shards_(std::move(shards)), acceptor_(*shards_.front()),
       state_(std::make_shared<listener_state>())
--- /dev/null
+++ b/libs/call_io/tests/call_io_test.cpp
@@ -0,0 +1,250 @@
+#include "call_io/call_listener.h"
+#include "call_io/connection_pool.h"
+#include "call_io/io_threads.h"
+
+#include "wire/call_headers.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <atomic>
+
+using namespace std::chrono_literals;
+using namespace trefoil;
+namespace http = boost::beast::http;
+
+/// A client on loopback.
+struct client_fixture {
+    asio::io_context context;
+    connection_pool pool{context, {}};
+    const tcp::endpoint any_port{asio::ip::address_v4::loopback(), 0};
+
+    static call_request make_request(std::string_view id, std::string body)
+    {
+        call_request request(http::verb::post, "/work", 11);
+        set_header(request, call_headers::request_id, id);
+        request.body() = std::move(body);
+        request.prepare_payload();
+        return request;
+    }
+
+    /// The default time left is never used up, even on a busy machine.
+    asio::awaitable<exchange_result> exchange(tcp::endpoint peer, std::string id,
+                                              std::chrono::milliseconds time_left = 1min)
+    {
+        cancel_token cancel;
+        auto request = make_request(id, id);
+        const exchange_options options{.deadline = std::chrono::steady_clock::now() + time_left};
+        co_return co_await pool.exchange(peer, request, options, cancel);
+    }
+
+    exchange_result send(const tcp::endpoint& peer, const std::string& id,
+                         std::chrono::milliseconds time_left = 1min)
+    {
+        auto result = asio::co_spawn(context, exchange(peer, id, time_left), asio::use_future);
+        context.restart();
+        context.run();
+        return result.get();
+    }
+};
+
+/// A client and a server that can break the protocol.
+struct pool_fixture : client_fixture {
+    std::atomic<std::size_t> requests_seen = 0;
+    tcp::endpoint server;
+    /// Last, so that the thread ends before what it uses.
+    io_threads threads{1};
+
+    pool_fixture()
+    {
+        tcp::acceptor acceptor(threads.context(0), any_port);
+        server = acceptor.local_endpoint();
+        asio::co_spawn(threads.context(0), accept_loop(std::move(acceptor)), asio::detached);
+        threads.start();
+    }
+
+    asio::awaitable<void> accept_loop(tcp::acceptor acceptor)
+    {
+        for (;;) {
+            auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+            asio::co_spawn(acceptor.get_executor(), serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    /// A request's id says what the server does: "foreign" gets the answer to another id, "silent"
+    /// none, "cut/N" one without its last N bytes and a close. Ends by an exception at a close.
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        boost::beast::flat_buffer buffer;
+        for (bool cut = false; !cut;) {
+            call_request request;
+            co_await http::async_read(socket, buffer, request, asio::use_awaitable);
+            ++requests_seen;
+            const auto id = request.body();
+            cut = id.starts_with("cut/");
+            auto answer = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\ntrefoil-request-id: " +
+                          (id == "foreign" ? "earlier" : id) + "\r\n\r\ndone";
+            const auto missing = cut ? std::stoul(id.substr(4)) : id == "silent" ? 999 : 0;
+            answer.resize(answer.size() - std::min(answer.size(), missing));
+            co_await asio::async_write(socket, asio::buffer(answer), asio::use_awaitable);
+        }
+    }
+};
+
+// Guards against a late or foreign answer that reaches a caller as the answer to its own request.
+TEST_CASE_METHOD(pool_fixture, "pool_answer_with_another_request_id_is_not_delivered")
+{
+    REQUIRE(send(server, "earlier").status == exchange_status::answered);
+    REQUIRE(send(server, "foreign").status == exchange_status::lost);
+    REQUIRE(pool.counters().mismatched == 1);
+    // The connection is out of step, so that no later request may use it.
+    REQUIRE(send(server, "later").status == exchange_status::answered);
+    REQUIRE(pool.counters().opened == 2);
+}
+
+// Guards against work that did not run and is reported as work that may have run.
+TEST_CASE_METHOD(pool_fixture, "pool_refused_connection_is_refused")
+{
+    // Bound but not listening: no other process can accept on this port.
+    const tcp::socket bound(context, any_port);
+    REQUIRE(send(bound.local_endpoint(), "a").status == exchange_status::refused);
+}
+
+// Guards against a client that resends a request after a close, on a new connection or on a reused
+// one, and so runs work twice.
+TEST_CASE_METHOD(pool_fixture, "pool_close_after_the_request_was_written_is_lost_and_not_resent")
+{
+    const std::size_t earlier = GENERATE(0, 1);
+    if (earlier == 1) {
+        REQUIRE(send(server, "earlier").status == exchange_status::answered);
+    }
+    REQUIRE(send(server, "cut/999").status == exchange_status::lost);
+    REQUIRE(pool.counters().reused == earlier);
+    REQUIRE(requests_seen == earlier + 1);
+}
+
+// Guards against requests that keep going to a connection that has gone silent.
+TEST_CASE_METHOD(pool_fixture, "pool_silent_server_is_lost_by_time_out_and_its_connection_replaced")
+{
+    REQUIRE(send(server, "earlier").status == exchange_status::answered);
+    const auto result = send(server, "silent", 200ms);
+    REQUIRE(result.status == exchange_status::lost);
+    REQUIRE(result.timed_out);
+    REQUIRE(pool.counters().opened == 1);
+    REQUIRE(send(server, "later").status == exchange_status::answered);
+    REQUIRE(pool.counters().opened == 2);
+}
+
+// Guards against part of an answer that is delivered as the whole.
+TEST_CASE_METHOD(pool_fixture, "pool_answer_cut_short_is_lost")
+{
+    const auto id = "cut/" + std::to_string(GENERATE(range(1, 70)));
+    CAPTURE(id);
+    const auto result = send(server, id);
+    REQUIRE(result.status == exchange_status::lost);
+    REQUIRE_FALSE(result.timed_out);
+}
+
+/// A client and a listener with two shards.
+struct listener_fixture : client_fixture {
+    std::array<std::atomic<std::size_t>, 2> handled{};
+    std::atomic<bool> cancelled = false;
+    io_threads threads{2};
+    call_listener listener{threads.contexts(), any_port,
+                           [this](auto request, auto shard, auto cancel) {
+                               return handle(std::move(request), shard, std::move(cancel));
+                           }};
+    const tcp::endpoint server{any_port.address(), listener.port()};
+    tcp::socket client{context};
+
+    listener_fixture()
+    {
+        listener.start();
+        threads.start();
+        client.connect(server);
+    }
+    ~listener_fixture() { threads.stop(); }
+
+    /// Answers with the request's id and body. The body "wait" asks to wait for the cancellation;
+    /// other answers have different delays, so that those of concurrent requests overtake others.
+    asio::awaitable<call_response> handle(call_request request, std::size_t shard,
+                                          std::shared_ptr<cancel_token> cancel)
+    {
+        const auto delay = 300us * (++handled.at(shard) % 5);
+        handled.at(shard).notify_all();
+        asio::steady_timer timer(co_await asio::this_coro::executor,
+                                 request.body() == "wait" ? 1h : delay);
+        cancel->on_cancel([&timer] { timer.cancel(); });
+        boost::system::error_code error;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        cancel->on_cancel(nullptr);
+        cancelled = cancel->cancelled();
+        cancelled.notify_all();
+        call_response response(http::status::ok, 11);
+        set_header(response, call_headers::request_id, *header(request, call_headers::request_id));
+        response.body() = request.body();
+        response.prepare_payload();
+        co_return response;
+    }
+};
+
+// Guards against work that goes on for a caller that is gone.
+TEST_CASE_METHOD(listener_fixture, "listener_closed_connection_cancels_the_handlers_token")
+{
+    http::write(client, make_request("a", "wait"));
+    handled[0].wait(0);
+    client.close();
+    // Without the cancellation this waits until the time limit of the test runner.
+    cancelled.wait(false);
+    REQUIRE(cancelled);
+}
+
+// Guards against oversized requests that reach an upstream, and against a connection that is reset
+// before its caller, still writing, has read why.
+TEST_CASE_METHOD(listener_fixture, "listener_oversized_request_gets_4xx_without_a_handler")
+{
+    constexpr auto limit = call_headers::max_body_bytes;
+    const std::size_t body_bytes = GENERATE(0, limit + 1, 4 * limit);
+    auto request = make_request("a", std::string(body_bytes, 'x'));
+    const auto status = body_bytes > 0 ? http::status::payload_too_large
+                                       : http::status::request_header_fields_too_large;
+    set_header(request, "padding",
+               std::string(body_bytes > 0 ? 0 : call_headers::max_header_bytes, 'x'));
+    http::write(client, request);
+    boost::beast::flat_buffer buffer;
+    call_response response;
+    http::read(client, buffer, response);
+    REQUIRE(response.result() == status);
+    REQUIRE(header(response, call_headers::outcome) == "not-run");
+    REQUIRE(handled[0] + handled[1] == 0);
+}
+
+// Guards against answers that change places between concurrent connections or shards.
+TEST_CASE_METHOD(listener_fixture, "listener_answers_over_two_shards_reach_their_own_ids")
+{
+    std::size_t own_answers = 0;
+    const auto run_caller = [&](std::size_t caller) -> asio::awaitable<void> {
+        for (std::size_t i = 0; i < 50; ++i) {
+            const auto id = std::to_string(caller) + "/" + std::to_string(i);
+            const auto result = co_await exchange(server, id);
+            own_answers += result.response.body() == id ? 1 : 0;
+        }
+    };
+    for (std::size_t caller = 0; caller < 8; ++caller) {
+        asio::co_spawn(context, run_caller(caller), asio::detached);
+    }
+    context.run();
+    REQUIRE(own_answers == 400);
+    REQUIRE(handled[0] > 0);
+    REQUIRE(handled[1] > 0);
+}
--- a/libs/wire/include/wire/call_headers.h
+++ b/libs/wire/include/wire/call_headers.h
@@ -26,8 +26,8 @@
 inline constexpr std::string_view draining = "trefoil-draining";
 
 /// All headers of one request or answer together.
-inline constexpr std::size_t max_header_bytes = 8 * 1024;
-inline constexpr std::size_t max_body_bytes = 1024 * 1024;
+inline constexpr std::size_t max_header_bytes = 8 * std::size_t{1024};
+inline constexpr std::size_t max_body_bytes = 1024 * std::size_t{1024};
 inline constexpr std::size_t max_name_length = 64;
 /// A call graph is up to 19 deep; deeper calls are a loop.
 inline constexpr unsigned max_depth = 32;
