Let an unconfirmed admit fraction rise at the first hop

Cause: a refused flow of a few requests a second gets hardly any answers, so the first hop kept its last fraction until it expired after 5 s. Ruled out: the target, whose own fraction is back within 1.25 s.

--- a/libs/routing/include/routing/flow_table.h
+++ b/libs/routing/include/routing/flow_table.h
@@ -15,6 +15,11 @@
     /// A fraction that no answer confirmed for this long no longer counts. Answers of an admitted
     /// flow arrive far more often, and a target recovers its fraction within seconds.
     std::chrono::nanoseconds lifetime = std::chrono::seconds(5);
+    /// A fraction that no answer confirmed for this long rises, as that of an idle flow does at the
+    /// target. A refused flow gets few answers, so that its recovery would go unnoticed.
+    std::chrono::nanoseconds raise_after = std::chrono::milliseconds(200);
+    /// Rise of an unconfirmed fraction in one second; the rate at the target.
+    double raise_per_second = 0.8;
     /// Weight of a new value, because the targets of one service report different fractions.
     double smoothing = 0.25;
     /// Bound on the entries (service, kind, group); further ones are not recorded.
@@ -74,6 +79,8 @@
     };
 
     bool is_expired(const service_fraction& entry, mono_time now) const noexcept;
+    /// The entry's fraction with the rise since its last confirmation.
+    double fraction_at(const service_fraction& entry, mono_time now) const noexcept;
 
     flow_table_options options_;
     std::unordered_map<flow, std::vector<service_fraction>, flow_hash, flow_equal> flows_;
--- a/libs/routing/src/flow_table.cpp
+++ b/libs/routing/src/flow_table.cpp
@@ -29,6 +29,13 @@
     return now - entry.confirmed >= options_.lifetime;
 }
 
+double flow_table::fraction_at(const service_fraction& entry, mono_time now) const noexcept
+{
+    const std::chrono::duration<double> unconfirmed = now - entry.confirmed - options_.raise_after;
+    const double rise = std::max(0.0, unconfirmed.count()) * options_.raise_per_second;
+    return std::min(1.0, entry.fraction + rise);
+}
+
 void flow_table::record(const service_name& service, const kind_name& kind, const group_name& group,
                         double fraction, mono_time now)
 {
@@ -40,8 +47,9 @@
     if (it != flows_.end()) {
         const auto entry = std::ranges::find(it->second, service, &service_fraction::service);
         if (entry != it->second.end()) {
-            // An expired value says nothing about the present one.
-            const double weight = is_expired(*entry, now) ? 1.0 : options_.smoothing;
+            // An unconfirmed value says little about the present one.
+            const bool is_recent = now - entry->confirmed < options_.raise_after;
+            const double weight = is_recent ? options_.smoothing : 1.0;
             entry->fraction += weight * (limited - entry->fraction);
             entry->confirmed = now;
             return;
@@ -70,9 +78,10 @@
     }
     double result = 1.0;
     for (const auto& entry : it->second) {
-        if (entry.fraction < result && !is_expired(entry, now) &&
+        const double fraction = fraction_at(entry, now);
+        if (fraction < result && !is_expired(entry, now) &&
             std::ranges::find(path, entry.service) != path.end()) {
-            result = entry.fraction;
+            result = fraction;
         }
     }
     return result;
--- a/libs/routing/tests/flow_table_test.cpp
+++ b/libs/routing/tests/flow_table_test.cpp
@@ -44,6 +44,19 @@
     REQUIRE(table.size() == 0);
 }
 
+// Guards against a refused flow of few requests whose recovery at the target goes unnoticed.
+TEST_CASE_METHOD(flow_table_fixture, "flow_table_unconfirmed_fraction_rises_at_the_targets_rate")
+{
+    table.record(path[0], order, house, 0.1, now);
+    REQUIRE(table.smallest(path, order, house, now + std::chrono::milliseconds(200)) == 0.1);
+    const auto raised = table.smallest(path, order, house, now + std::chrono::milliseconds(700));
+    REQUIRE(raised == Approx(0.5));
+    const auto later = now + std::chrono::milliseconds(1400);
+    REQUIRE(table.smallest(path, order, house, later) == 1.0);
+    table.record(path[0], order, house, 0.2, later);
+    REQUIRE(table.smallest(path, order, house, later) == 0.2);
+}
+
 // Guards against a flow that cannot recover, and against a table that outside input makes grow.
 TEST_CASE_METHOD(flow_table_fixture, "flow_table_any_records_stay_bounded_and_in_range")
 {
