Keep leases while peers of the service do not answer

Cause: lease calls shared three threads and a 1 s time-out with all other calls to peers, so calls to peers that did not answer held up those to live ones beyond the time in which the lease counts an answer; in a fleet of 20 with 5 nodes stopped, 2 of 15 others held the lease. Lease calls now have their own threads and a time-out of 250 ms. A node whose first platform call fails repeats it after about 2 s instead of 15 to 45 s, and one node fetches a new version once.

--- a/libs/node/src/peer_link.cpp
+++ b/libs/node/src/peer_link.cpp
@@ -2,6 +2,8 @@
 
 #include "base/log_event.h"
 
+#include <gsl/util>
+
 #include <algorithm>
 
 namespace trefoil {
@@ -12,6 +14,10 @@
 /// A step that comes this much later than planned means that the process was paused.
 constexpr std::chrono::milliseconds pause_threshold{1500};
 constexpr std::size_t peer_workers = 3;
+/// Lease calls have their own threads and a short time-out: unanswered calls to dead peers must not
+/// delay those to live ones beyond the time in which the lease counts an answer.
+constexpr std::size_t lease_workers = 8;
+constexpr std::chrono::milliseconds lease_timeout{250};
 constexpr std::size_t largest_worker_queue = 64;
 
 } // namespace
@@ -21,7 +27,8 @@
                      published_state& published, metrics& counters, change_log& log)
     : settings_(s), incarnation_(incarnation), views_(views), members_(members), once_(once),
       suspects_(suspects), published_(published), metrics_(counters), log_(log),
-      last_step_(boot_clock::now()), guard_({.cluster = s.cluster}), random_(std::random_device{}())
+      lease_client_({.timeout = lease_timeout}), last_step_(boot_clock::now()),
+      guard_({.cluster = s.cluster}), random_(std::random_device{}())
 {
 }
 
@@ -30,6 +37,7 @@
 void peer_link::start()
 {
     workers_ = std::make_unique<worker_pool>(peer_workers, largest_worker_queue);
+    lease_workers_ = std::make_unique<worker_pool>(lease_workers, largest_worker_queue);
     exchanges_ = std::make_unique<periodic_thread>([this] { return exchange_step(); });
     leases_ = std::make_unique<periodic_thread>([this] { return lease_step(); });
 }
@@ -125,7 +133,9 @@
     if (!endpoint) {
         return;
     }
-    if (plan.config) {
+    // One fetch at a time: several peers report the same new version within one round trip.
+    if (plan.config && !fetching_config_.exchange(true)) {
+        const auto done = gsl::finally([this] { fetching_config_ = false; });
         const auto held = published_.config().version;
         const auto fetched = client_.fetch_config(*endpoint, {next_header(), held});
         if (fetched.version > held) {
@@ -133,7 +143,8 @@
                                     version_source::peer);
         }
     }
-    if (plan.list) {
+    if (plan.list && !fetching_list_.exchange(true)) {
+        const auto done = gsl::finally([this] { fetching_list_ = false; });
         const auto held = published_.list().version;
         const auto fetched = client_.fetch_list(*endpoint, {next_header(), held});
         if (fetched.revision > held) {
@@ -152,7 +163,7 @@
     }
     const auto now = boot_clock::now();
     for (const auto& call : once_.poll(now, wall_now(), random)) {
-        workers_->post([this, call] { ask_for_grant(call); });
+        lease_workers_->post([this, call] { ask_for_grant(call); });
     }
     return once_.poll_interval();
 }
@@ -164,11 +175,11 @@
         return;
     }
     const auto result =
-        client_.grant_lease(*endpoint, {next_header(), settings_.service, call.request});
+        lease_client_.grant_lease(*endpoint, {next_header(), settings_.service, call.request});
     const auto now = boot_clock::now();
     once_.receive(call, result.grant, now, wall_now());
     if (once_.revision_to_fetch() > published_.list().version) {
-        fetch(call.peer, {.config = false, .list = true});
+        workers_->post([this, peer = call.peer] { fetch(peer, {.config = false, .list = true}); });
     }
 }
 
@@ -302,6 +313,11 @@
         grant_lease_result result;
         if (request.service == settings_.service) {
             result.grant = once_.grant(request.grant, boot_clock::now());
+            if (once_.revision_to_fetch() > published_.list().version) {
+                workers_->post([this, peer = request.header.from] {
+                    fetch(peer, {.config = false, .list = true});
+                });
+            }
         }
         return result;
     };
--- a/libs/node/src/peer_link.h
+++ b/libs/node/src/peer_link.h
@@ -69,7 +69,10 @@
     metrics& metrics_;
     change_log& log_;
     peer_client client_;
+    peer_client lease_client_;
     std::atomic<std::uint64_t> sequence_ = 0;
+    std::atomic<bool> fetching_config_ = false;
+    std::atomic<bool> fetching_list_ = false;
     mono_time last_step_;
     mono_time last_pull_;
 
@@ -80,6 +83,7 @@
     std::shared_ptr<const list_snapshot> known_list_;
 
     std::unique_ptr<worker_pool> workers_;
+    std::unique_ptr<worker_pool> lease_workers_;
     std::unique_ptr<periodic_thread> exchanges_;
     std::unique_ptr<periodic_thread> leases_;
 };
--- a/libs/spread/include/spread/watcher_choice.h
+++ b/libs/spread/include/spread/watcher_choice.h
@@ -20,6 +20,9 @@
     std::chrono::nanoseconds pause = std::chrono::milliseconds(500);
     /// Mean delay after the first failed call of a chosen watcher; doubles with each failure.
     std::chrono::nanoseconds first_retry = std::chrono::seconds(1);
+    /// The same for a node without a list, which can serve nothing and knows nobody else to ask.
+    /// 2,400 such nodes make 1,200 calls/s, below the platform's 2,000.
+    std::chrono::nanoseconds first_retry_without_list = std::chrono::seconds(2);
     /// Longest mean delay after a failed call; at once for nodes that are not chosen. Every delay
     /// is drawn from 0.5 to 1.5 times its mean.
     std::chrono::nanoseconds longest_retry = std::chrono::seconds(30);
--- a/libs/spread/src/watcher_choice.cpp
+++ b/libs/spread/src/watcher_choice.cpp
@@ -73,8 +73,9 @@
 void watcher_choice::call_failed(mono_time now, random_source& random)
 {
     auto mean = options_.longest_retry;
-    if (chosen_) {
-        mean = options_.first_retry;
+    const bool has_list = member_count_ != 0;
+    if (chosen_ || !has_list) {
+        mean = chosen_ ? options_.first_retry : options_.first_retry_without_list;
         for (std::size_t i = 0; i < failures_ && mean < options_.longest_retry; ++i) {
             mean *= 2;
         }
--- a/libs/spread/tests/watcher_choice_test.cpp
+++ b/libs/spread/tests/watcher_choice_test.cpp
@@ -118,3 +118,12 @@
     REQUIRE(round->at < start + 2s);
     REQUIRE_FALSE(choice.contact_age(start));
 }
+
+// Guards against a node that serves nothing for 15 to 45 s because its first call failed.
+TEST_CASE_METHOD(watcher_choice_fixture,
+                 "watcher_choice_without_list_repeats_a_failed_call_within_3_s")
+{
+    trefoil::watcher_choice choice({vm_name("a"), availability_zone_name("z")}, start);
+    choice.call_failed(start, random);
+    REQUIRE(choice.next_round(start, random)->at <= start + 3s);
+}
--- a/scripts/failure_tests.sh
+++ b/scripts/failure_tests.sh
@@ -193,6 +193,23 @@
     finish_load crashing_request
 }
 
+# Nodes of one service that stop answering, without refusing connections, must not end the leases of
+# the others while these are a majority.
+third_of_a_service_paused() {
+    local vm i held
+    for i in 1 2 3; do fleet_kill "tinturaria-$i" STOP; done
+    # Longer than a lease, so that only renewals after the pause can hold it.
+    sleep 8
+    held=0
+    for vm in "${fleet_vms[@]}"; do
+        case $vm in tinturaria-[123]) continue ;; esac
+        [ "$(status_of "$vm" held)" != true ] || held=$((held + 1))
+    done
+    [ "$held" = 7 ] || fail "third_of_a_service_paused: $held of 7 nodes hold the lease"
+    for i in 1 2 3; do fleet_kill "tinturaria-$i" CONT; done
+    echo "checked: third_of_a_service_paused"
+}
+
 dir=$(mktemp -d)
 fleet_objects=samples/serra-gaucha fleet_start failure-tests "$dir" true
 cp "$dir/bundle.toml" "$dir/bundle-1.toml"
@@ -204,6 +221,13 @@
     "$scenario"
 done
 fleet_stop
+if [ $# = 0 ]; then
+    fleet_objects=samples/serra-gaucha fleet_start one-service "$(mktemp -d)" true
+    fleet_workload samples/workloads/one-service.toml "$fleet_dir/workload.toml"
+    fleet_ready "$fleet_dir/workload.toml" || fail "the service never served"
+    third_of_a_service_paused
+    fleet_stop
+fi
 echo "logs and results: $dir"
 [ "$failures" = 0 ] || { echo "$failures failed"; exit 1; }
 echo "failure tests passed"
