Tell a died upstream from an unusable answer, and refuse contradictory headers

An answer that was too large or carried another id made its request a crash suspect; only a connection that the upstream closed does so now. A header stated twice and methods other than POST get a 4xx before any upstream work.

--- a/libs/call_io/include/call_io/exchange_result.h
+++ b/libs/call_io/include/call_io/exchange_result.h
@@ -18,6 +18,9 @@
 struct exchange_result {
     exchange_status status = exchange_status::not_sent;
     call_response response;
+    /// The peer closed or reset the connection before its answer was whole, as a process does that
+    /// dies. False for an answer that is too large, unreadable or of another request.
+    bool peer_closed = false;
     /// The deadline passed; otherwise the connection failed or the caller went away.
     bool timed_out = false;
 };
--- a/libs/call_io/src/connection_pool.cpp
+++ b/libs/call_io/src/connection_pool.cpp
@@ -57,6 +57,13 @@
     return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool is_close(const boost::system::error_code& error)
+{
+    return error == http::error::end_of_stream || error == http::error::partial_message ||
+           error == asio::error::eof || error == asio::error::connection_reset ||
+           error == asio::error::broken_pipe;
+}
+
 } // namespace
 
 connection_pool::connection_pool(asio::io_context& context, pool_options options)
@@ -150,6 +157,7 @@
     if (error) {
         result.status = written == 0 ? exchange_status::not_sent : exchange_status::lost;
         result.timed_out = error == beast::error::timeout;
+        result.peer_closed = is_close(error);
         co_return;
     }
     result.status = exchange_status::lost;
@@ -159,6 +167,7 @@
     co_await http::async_read(conn->stream, conn->buffer, parser,
                               asio::redirect_error(asio::use_awaitable, error));
     result.timed_out = error == beast::error::timeout;
+    result.peer_closed = is_close(error);
     if (error) {
         co_return;
     }
--- a/libs/control/tests/control_server_test.cpp
+++ b/libs/control/tests/control_server_test.cpp
@@ -1,7 +1,9 @@
 #include "control/audit_trail.h"
+
 #include "control/control_server.h"
 #include "control/metrics.h"
 #include "http_call.h"
+#include "spread/invalid_message.h"
 
 #include <catch2/catch.hpp>
 
@@ -18,11 +20,12 @@
 
     audit_trail audit{4};
     metrics counts;
-    control_server server{{},
-                          {.rpc = [](const std::string& body) { return body; },
-                           .metrics = [this] { return counts.text(); },
-                           .status = []() -> std::string { throw std::runtime_error("no status"); },
-                           .audit = [this](std::uint64_t after) { return audit.to_json(after); }}};
+    control_server server{
+        {},
+        {.rpc = [](const std::string& body) { return body; },
+         .metrics = [this] { return counts.text(); },
+         .status = []() -> std::string { throw trefoil::invalid_message("no status"); },
+         .audit = [this](std::uint64_t after) { return audit.to_json(after); }}};
 
     http_answer call(const std::string& path, const std::string& body = "") const
     {
--- a/libs/control/tests/peer_client_test.cpp
+++ b/libs/control/tests/peer_client_test.cpp
@@ -1,7 +1,9 @@
 #include "control/control_server.h"
+
 #include "control/free_port.h"
 #include "control/peer_client.h"
 #include "control/rpc_server.h"
+#include "spread/invalid_message.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -40,7 +42,7 @@
                         },
                     .grant_lease = [](const grant_lease_request& request) -> grant_lease_result {
                         if (request.service.empty()) {
-                            throw std::runtime_error("fault in a handler");
+                            throw trefoil::invalid_message("fault in a handler");
                         }
                         const bool whole =
                             request.grant.duration == 2s && request.grant.members_digest == 77;
--- a/libs/node/src/call_router.cpp
+++ b/libs/node/src/call_router.cpp
@@ -89,8 +89,15 @@
     std::optional<request_id> stated_id;
     try {
         const std::string_view target(request.target().data(), request.target().size());
-        c.context =
-            parse_call(target, [&](std::string_view name) { return header(request, name); });
+        if (request.method() != boost::beast::http::verb::post) {
+            throw malformed_call("method", "only POST is served");
+        }
+        c.context = parse_call(target, [&](std::string_view name) {
+            if (request.count({name.data(), name.size()}) > 1) {
+                throw malformed_call(name, "stated more than once");
+            }
+            return header(request, name);
+        });
         stated_id = c.context.id;
         return resolve_objects(c);
     }
--- a/libs/node/src/local_runner.cpp
+++ b/libs/node/src/local_runner.cpp
@@ -141,7 +141,7 @@
     }
     gate_.leave(ticket, done);
     const bool crash =
-        result.status == exchange_status::lost && !result.timed_out && !c.cancel->cancelled();
+        result.status == exchange_status::lost && result.peer_closed && !c.cancel->cancelled();
     if (crash) {
         const auto changes = suspects_.crashed(boot_clock::now());
         log_.record(changes);
@@ -200,8 +200,11 @@
         if (c.cancel->cancelled()) {
             return answer_lost(c, refusal_reason::cancelled);
         }
-        return answer_lost(c, result.timed_out ? refusal_reason::deadline_passed
-                                               : refusal_reason::upstream_crashed);
+        if (result.timed_out) {
+            return answer_lost(c, refusal_reason::deadline_passed);
+        }
+        return answer_lost(c, result.peer_closed ? refusal_reason::upstream_crashed
+                                                 : refusal_reason::connection_lost);
     }
     const auto told = outcome_of(result.response);
     if (told == outcome::complete) {
--- a/libs/spread/tests/watcher_choice_test.cpp
+++ b/libs/spread/tests/watcher_choice_test.cpp
@@ -1,5 +1,7 @@
 #include "spread/watcher_choice.h"
 
+#include "spread/invalid_message.h"
+
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
@@ -34,7 +36,7 @@
                 return choice;
             }
         }
-        throw std::logic_error("no such node in the fleet");
+        throw trefoil::invalid_message("no such node in the fleet");
     }
 };
 
