Let a node that takes over the platform watch read both values

Cause: a node that takes over calls for one value at a time; once its call for the list was answered, the contact it reported stopped all others, so that a configuration published meanwhile stayed unread. Ruled out: the exchange between nodes, since no node at all held the change.

--- a/libs/spread/include/spread/watcher_choice.h
+++ b/libs/spread/include/spread/watcher_choice.h
@@ -74,6 +74,7 @@
     std::optional<std::chrono::nanoseconds> contact_age(mono_time now) const noexcept;
 
 private:
+    std::optional<watch_round> plan_round(mono_time now, random_source& random);
     bool is_silent(mono_time now) const noexcept;
     std::chrono::nanoseconds takeover_window() const noexcept;
 
@@ -88,6 +89,9 @@
     std::optional<mono_time> first_call_;
     mono_time not_before_;
     std::size_t failures_ = 0;
+    bool last_round_both_ = false;
+    /// This node took over with a call for one value, which was answered; the other is to be read.
+    bool follow_up_ = false;
 };
 
 } // namespace trefoil
--- a/libs/spread/src/watcher_choice.cpp
+++ b/libs/spread/src/watcher_choice.cpp
@@ -65,6 +65,9 @@
 void watcher_choice::call_answered(mono_time now)
 {
     last_contact_ = now;
+    // A call for one value says nothing of the other, and other nodes stop when they hear of this
+    // contact, so this node reads both before it stops.
+    follow_up_ = !chosen_ && !last_round_both_;
     first_call_.reset();
     failures_ = 0;
     not_before_ = now + options_.pause;
@@ -98,11 +101,23 @@
 }
 
 std::optional<watch_round> watcher_choice::next_round(mono_time now, random_source& random)
+{
+    const auto round = plan_round(now, random);
+    if (round) {
+        last_round_both_ = round->both;
+    }
+    return round;
+}
+
+std::optional<watch_round> watcher_choice::plan_round(mono_time now, random_source& random)
 {
     if (chosen_) {
         return watch_round{not_before_, failures_ == 0};
     }
     const bool has_list = member_count_ != 0;
+    if (has_list && follow_up_) {
+        return watch_round{not_before_, true};
+    }
     if (has_list && !is_silent(now)) {
         first_call_.reset();
         return std::nullopt;
--- a/libs/spread/tests/message_test.cpp
+++ b/libs/spread/tests/message_test.cpp
@@ -120,7 +120,7 @@
     message.suspected.resize(5000, message.header.from);
     trefoil::crash_report report{{UINT64_MAX}, {}, {}, true};
     report.crashes.resize(5000, {{message.header.from, {UINT64_MAX}, UINT64_MAX}, 1h, false});
-    report.ids.resize(5000);
+    report.ids.resize(5000, trefoil::request_id::from_parts({}, 0, 1));
     message.crashes.resize(5000, report);
     message.crashes[0].fingerprint = {1};
     const auto text = to_json(message);
--- a/libs/spread/tests/watcher_choice_test.cpp
+++ b/libs/spread/tests/watcher_choice_test.cpp
@@ -88,6 +88,19 @@
     REQUIRE_FALSE(choice.next_round(start + 20s, random));
 }
 
+// Guards against a change that nobody reads: after the answered call of a node that took over for
+// the list, the other nodes stop, so the configuration would stay unread.
+TEST_CASE_METHOD(watcher_choice_fixture,
+                 "watcher_choice_after_taking_over_reads_both_values_before_it_stops")
+{
+    auto choice = choice_of(fleet(24, 3), false);
+    REQUIRE_FALSE(choice.next_round(start + 20s, random)->both);
+    choice.call_answered(start + 21s);
+    REQUIRE(choice.next_round(start + 21s, random)->both);
+    choice.call_answered(start + 23s);
+    REQUIRE_FALSE(choice.next_round(start + 23s, random));
+}
+
 // Guards against calls in step and against a back-off that goes beyond its bound.
 TEST_CASE_METHOD(watcher_choice_fixture,
                  "watcher_choice_failing_calls_back_off_with_jitter_to_30_s")
