Bound the heap arenas of a node, lengthen the lease and note what changed

The lease lasts 4 s instead of 2 s, since lease messages take nine tenths of the control budget (docs/CAPACITY.md); the unit tests of the lease state the 2 s they were written for, and the model runs with the default.

--- a/apps/load_driver/driver.cpp
+++ b/apps/load_driver/driver.cpp
@@ -18,7 +18,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds impatient_pause{20};
-constexpr std::chrono::seconds readiness_timeout{40};
+/// Only ends a check that would never pass: a service that starts as a whole waits 30 s for a
+/// lease.
+constexpr std::chrono::seconds readiness_timeout{120};
 
 std::string expected_answer(const flow& f, const std::string& id)
 {
--- a/apps/trefoilholdd/main.cpp
+++ b/apps/trefoilholdd/main.cpp
@@ -8,10 +8,15 @@
 #include <iostream>
 
 #include <getopt.h>
+#include <malloc.h>
 #include <pthread.h>
 
 namespace {
 
+/// Heap arenas of the process. With one for each of its threads the C library kept up to 13 MB more
+/// of a 32 MB budget after changes of the VM list.
+constexpr int heap_arenas = 2;
+
 constexpr int exit_unclean_drain = 1;
 constexpr int exit_usage = 2;
 constexpr int exit_settings = 3;
@@ -85,6 +90,7 @@
 
 int main(int argc, char** argv)
 {
+    mallopt(M_ARENA_MAX, heap_arenas);
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
     std::signal(SIGPIPE, SIG_IGN);
--- a/libs/node/src/published_state.cpp
+++ b/libs/node/src/published_state.cpp
@@ -122,7 +122,7 @@
 std::optional<std::chrono::nanoseconds> published_state::contact_age() const
 {
     const std::lock_guard lock(mutex_);
-    return const_cast<spread_state&>(spread_).watcher().contact_age(boot_clock::now());
+    return spread_.watcher().contact_age(boot_clock::now());
 }
 
 published_text<config_version> published_state::config() const
--- a/libs/once/include/once/once_options.h
+++ b/libs/once/include/once/once_options.h
@@ -12,7 +12,7 @@
     /// Largest difference between the wall clocks of any two nodes. Callers' clocks need no bound.
     std::chrono::milliseconds clock_skew{500};
     /// Time for which a grant of a peer counts, from the sending of the request.
-    std::chrono::milliseconds lease{2'000};
+    std::chrono::milliseconds lease{4'000};
     /// Extra time for which the granting side holds a grant. It covers monotonic clocks whose rates
     /// differ by up to 1%.
     std::chrono::milliseconds lease_drift{20};
--- a/libs/spread/include/spread/spread_state.h
+++ b/libs/spread/include/spread/spread_state.h
@@ -75,6 +75,7 @@
     void announce() noexcept { push_due_ = true; }
 
     watcher_choice& watcher() noexcept { return watcher_; }
+    const watcher_choice& watcher() const noexcept { return watcher_; }
     const version_guard<config_version>& config() const noexcept { return config_; }
     const version_guard<list_revision>& list() const noexcept { return list_; }
 
