--- a/apps/measures/main.cpp
+++ b/apps/measures/main.cpp
@@ -76,7 +76,8 @@
         static_cast<unsigned long long>(run.total(&kind_counts::complete)),
         static_cast<unsigned long long>(run.total(&kind_counts::wrong)),
         static_cast<unsigned long long>(run.once_only_ran),
-        static_cast<unsigned long long>(run.ran_twice));
+        static_cast<unsigned long long>(run.ran_twice),
+        static_cast<unsigned long long>(run.ran_although_not_run));
 }
 
 } // namespace
