--- /dev/null
+++ b/libs/dispatch/src/first_hop_gate.cpp
@@ -0,0 +1,35 @@
+#include "dispatch/first_hop_gate.h"
+
+#include "base/hash.h"
+#include "dispatch/admit_level.h"
+
+namespace trefoil {
+
+namespace {
+
+/// Uniform in [0, 1).
+double fraction_of(std::uint64_t random)
+{
+    constexpr double range = 9007199254740992.0; // 2^53, the integers that a double holds exactly
+    return static_cast<double>(random >> 11U) / range;
+}
+
+} // namespace
+
+gate_decision first_hop_gate::decide(double level, std::uint32_t rank, std::uint64_t random) const
+{
+    if (fraction_of(mix64(random)) < admit_level::share_of_rank(level, rank)) {
+        return {};
+    }
+    return {false, return_time(level, random)};
+}
+
+std::chrono::milliseconds first_hop_gate::return_time(double level, std::uint64_t random) const
+{
+    const std::chrono::duration<double, std::milli> middle =
+        options_.least_return + options_.return_range * (1.0 - level);
+    const double spread = 1.0 + options_.spread * (2.0 * fraction_of(mix64(random + 1)) - 1.0);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(middle * spread);
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/dispatch/src/resend_rule.cpp
@@ -0,0 +1,25 @@
+#include "dispatch/resend_rule.h"
+
+namespace trefoil {
+
+bool may_send_again(const route& r, call_outcome outcome, const send_history& history,
+                    retry_budget& budget)
+{
+    switch (outcome) {
+    case call_outcome::answered:
+        return false;
+    case call_outcome::turned_away:
+    case call_outcome::unreachable:
+        return history.detours <= max_detours;
+    case call_outcome::lost:
+        if (!r.idempotent) {
+            return false;
+        }
+        break;
+    case call_outcome::declined:
+        break;
+    }
+    return history.arrivals < r.max_attempts && budget.spend_retry();
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/relay/src/acceptor.cpp
@@ -0,0 +1,57 @@
+#include "acceptor.h"
+
+#include "base/log_event.h"
+
+#include <chrono>
+#include <utility>
+
+namespace trefoil {
+
+namespace {
+
+/// Connections that may wait to be accepted. A full queue delays callers by a second.
+constexpr int backlog = 2048;
+
+/// Pause after a failure, which is mostly a lack of descriptors.
+constexpr std::chrono::milliseconds failure_pause{20};
+
+} // namespace
+
+acceptor::acceptor(asio::io_context& context, const tcp::endpoint& local,
+                   std::function<void(tcp::socket)> accepted)
+    : acceptor_(context), pause_(context), accepted_(std::move(accepted))
+{
+    acceptor_.open(local.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(local);
+    acceptor_.listen(backlog);
+}
+
+void acceptor::accept()
+{
+    acceptor_.async_accept([this](auto error, tcp::socket socket) {
+        if (!acceptor_.is_open()) {
+            return;
+        }
+        if (!error) {
+            accepted_(std::move(socket));
+            accept();
+            return;
+        }
+        log_event("accept_failed").add("detail", error.message()).warning();
+        pause_.expires_after(failure_pause);
+        pause_.async_wait([this](auto cancelled) {
+            if (!cancelled) {
+                accept();
+            }
+        });
+    });
+}
+
+void acceptor::close()
+{
+    boost::system::error_code ignored; // Closing cannot be refused.
+    acceptor_.close(ignored);
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/relay/src/byte_stream.cpp
@@ -0,0 +1,197 @@
+#include "byte_stream.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+namespace trefoil {
+
+namespace {
+
+/// Bytes made room for in one read; most messages are smaller.
+constexpr std::size_t read_size = 4096;
+
+/// Time after which the kernel gives up on written bytes that the peer does not acknowledge. Longer
+/// than a few retransmissions on a lossy link.
+constexpr std::chrono::milliseconds tcp_user_timeout{4000};
+
+} // namespace
+
+byte_stream::byte_stream(tcp::socket socket) : socket_(std::move(socket)) {}
+
+void byte_stream::start(handlers h)
+{
+    handlers_ = std::move(h);
+    boost::system::error_code ignored; // The options only improve latency and detection.
+    socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
+    const auto timeout = static_cast<unsigned>(tcp_user_timeout.count());
+    setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+    read();
+}
+
+void byte_stream::connect(const tcp::endpoint& peer, handlers h,
+                          std::function<void(boost::system::error_code)> connected)
+{
+    socket_.async_connect(peer, [self = shared_from_this(), h = std::move(h),
+                                 connected = std::move(connected)](auto error) mutable {
+        if (!self->open_) {
+            return;
+        }
+        if (error) {
+            self->close();
+        }
+        else {
+            self->start(std::move(h));
+        }
+        connected(error);
+    });
+}
+
+void byte_stream::read()
+{
+    if (reading_ || paused_ || !open_) {
+        return;
+    }
+    reading_ = true;
+    socket_.async_read_some(
+        buffer_.prepare(read_size), [self = shared_from_this()](auto error, std::size_t count) {
+            self->reading_ = false;
+            if (!self->open_) {
+                return;
+            }
+            if (error) {
+                self->fail(error);
+                return;
+            }
+            self->buffer_.commit(count);
+            const auto on_data = self->handlers_.data; // The handler may replace itself.
+            on_data(self->buffer_);
+            self->read();
+        });
+}
+
+void byte_stream::write(std::string bytes)
+{
+    if (!open_) {
+        return;
+    }
+    if (pending_.empty()) {
+        pending_ = std::move(bytes);
+    }
+    else {
+        pending_ += bytes;
+    }
+    if (!flush_posted_ && !writing_) {
+        flush_posted_ = true;
+        asio::post(socket_.get_executor(), [self = shared_from_this()] { self->flush(); });
+    }
+}
+
+void byte_stream::flush()
+{
+    flush_posted_ = false;
+    if (!open_ || writing_ || pending_.empty()) {
+        return;
+    }
+    in_write_ = std::move(pending_);
+    pending_.clear();
+    boost::system::error_code error;
+    written_ = socket_.write_some(asio::buffer(in_write_), error);
+    if (error && error != asio::error::would_block && error != asio::error::try_again) {
+        fail(error);
+        return;
+    }
+    if (written_ < in_write_.size()) {
+        write_rest();
+        return;
+    }
+    in_write_.clear();
+    if (close_when_written_) {
+        close();
+    }
+}
+
+void byte_stream::write_rest()
+{
+    writing_ = true;
+    const auto rest = asio::buffer(in_write_) + written_;
+    asio::async_write(socket_, rest, [self = shared_from_this()](auto error, std::size_t) {
+        self->writing_ = false;
+        if (!self->open_) {
+            return;
+        }
+        if (error) {
+            self->fail(error);
+            return;
+        }
+        self->in_write_.clear();
+        if (!self->pending_.empty()) {
+            self->flush();
+        }
+        else if (self->close_when_written_) {
+            self->close();
+        }
+    });
+}
+
+void byte_stream::fail(boost::system::error_code error)
+{
+    if (!open_) {
+        return;
+    }
+    const auto closed = std::move(handlers_.closed);
+    close();
+    if (closed) {
+        closed(error);
+    }
+}
+
+void byte_stream::close()
+{
+    if (!open_) {
+        return;
+    }
+    open_ = false;
+    boost::system::error_code ignored; // The peer may have closed it already.
+    socket_.shutdown(tcp::socket::shutdown_both, ignored);
+    socket_.close(ignored);
+    // The handlers may be running and own what called this, so they are released later.
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->handlers_ = {}; });
+}
+
+void byte_stream::close_after_writes()
+{
+    if (unwritten() == 0) {
+        close();
+        return;
+    }
+    close_when_written_ = true;
+}
+
+void byte_stream::pause_reading(bool paused)
+{
+    paused_ = paused;
+    read();
+}
+
+bool byte_stream::has_unexpected_input() const
+{
+    char byte = 0;
+    const auto count =
+        recv(const_cast<tcp::socket&>(socket_).native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return buffer_.size() > 0 || count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+asio::ip::address byte_stream::peer_address() const
+{
+    boost::system::error_code error;
+    const auto endpoint = socket_.remote_endpoint(error);
+    return error ? asio::ip::address() : endpoint.address();
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/relay/src/call_forwarder.cpp
@@ -0,0 +1,380 @@
+#include "call_forwarder.h"
+
+#include "http_text.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace trefoil {
+
+namespace {
+
+/// Time past the deadline for the answer of the target's node, which knows whether the request ran.
+constexpr std::chrono::milliseconds deadline_slack{40};
+
+/// Time to return for callers while nothing is known about routes or targets; the store is read
+/// again well within it.
+constexpr std::chrono::milliseconds unprepared_return{500};
+
+/// A node that announced its end gets nothing new for this time; it restarts in about as long.
+constexpr std::chrono::milliseconds leaving_suspension{1000};
+
+/// Links unused for this long are closed.
+constexpr std::chrono::seconds link_idle_limit{10};
+
+/// Part of the allowed repeats that nodes use, since calls made by a repeated run are repeats too.
+constexpr double used_part_of_retry_ratio = 0.4;
+
+/// Repeats that a node can save up for one service. All nodes together save up no more than a few
+/// dozen.
+constexpr std::uint32_t retry_burst = 1;
+
+constexpr double level_scale = 1000.0;
+
+/// Levels are kept for each route; groups do not apply to them.
+const group_name any_group{"*"};
+
+kind_name level_key(std::uint32_t route)
+{
+    return kind_name(std::to_string(route));
+}
+
+bool is_failure(const answer_message& answer, call_outcome outcome)
+{
+    return outcome == call_outcome::lost || outcome == call_outcome::declined ||
+           (outcome == call_outcome::answered && answer.status >= 500 && answer.status != 504);
+}
+
+} // namespace
+
+call_forwarder::call_forwarder(asio::io_context& context, deadline_queue& deadlines,
+                               const relay_settings& s, target_directory& targets,
+                               local_target& local, decision_log& log,
+                               peer_link::handlers link_handlers)
+    : context_(context), deadlines_(deadlines), settings_(s), targets_(targets), local_(local),
+      log_(log), link_handlers_(std::move(link_handlers)),
+      placement_({s.zone, s.inbound.address().to_string()}), random_(std::random_device{}())
+{
+}
+
+void call_forwarder::set_routes(std::shared_ptr<const route_table> routes)
+{
+    routes_ = std::move(routes);
+    rotation_.clear();
+}
+
+retry_budget& call_forwarder::budget_of(const service_name& service)
+{
+    const auto percent =
+        static_cast<std::uint32_t>(100.0 * settings_.retry_ratio * used_part_of_retry_ratio);
+    return budgets_.try_emplace(service, retry_budget_options{percent, retry_burst}).first->second;
+}
+
+double call_forwarder::level_of(const pending_call& call) const
+{
+    const std::array path{call.service};
+    return levels_.smallest(path, level_key(route_key(call.way->name)), any_group,
+                            boot_clock::now());
+}
+
+double call_forwarder::level_below(std::uint32_t /*route*/) const
+{
+    return 1.0;
+}
+
+void call_forwarder::handle(const std::shared_ptr<caller_session>& caller, relay_request request)
+{
+    auto call = std::make_shared<pending_call>();
+    call->request = std::move(request);
+    call->caller = caller;
+    call->routes = routes_;
+    calls_[caller.get()] = call;
+    if (!routes_) {
+        refuse(call, "no_configuration", unprepared_return);
+        return;
+    }
+    call->way = routes_->find(call->request.host, call->request.target);
+    if (call->way == nullptr) {
+        fail(call, 404, "no_route");
+        return;
+    }
+    if (call->request.id.empty()) {
+        fail(call, 400, "no_id");
+        return;
+    }
+    auto patience = call->way->timeout;
+    if (call->request.patience.count() > 0) {
+        patience = std::min(patience, call->request.patience);
+    }
+    call->deadline = call->request.arrived + patience;
+    call->service = rotation_.next(*call->way);
+    if (!admit(call)) {
+        return;
+    }
+    budget_of(call->service).first_attempt();
+    deadlines_.at(call->deadline + deadline_slack, [this, weak = std::weak_ptr(call)] {
+        const auto pending = weak.lock();
+        if (pending && !pending->finished) {
+            on_deadline(pending);
+        }
+    });
+    send(call);
+}
+
+bool call_forwarder::admit(const call_ptr& call)
+{
+    if (call->request.nested) {
+        return true; // Work was spent on the request that it belongs to.
+    }
+    const auto decision = gate_.decide(level_of(*call), call->way->rank, random_());
+    if (!decision.admitted) {
+        refuse(call, "level", decision.retry_after);
+    }
+    return decision.admitted;
+}
+
+void call_forwarder::send(const call_ptr& call)
+{
+    const auto now = boot_clock::now();
+    const auto target =
+        placement_.choose(targets_.targets(call->service), call->tried, random_(), now);
+    if (!target) {
+        give_up(call, call_outcome::unreachable);
+        return;
+    }
+    send_to(call, target);
+}
+
+call_message call_forwarder::message_of(const pending_call& call, const target_state& target) const
+{
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - boot_clock::now());
+    call_message message;
+    message.time_left_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(1, left.count()));
+    message.route = route_key(call.way->name);
+    message.rank = call.way->rank;
+    message.idempotent = call.way->idempotent;
+    message.nested = call.request.nested;
+    message.target_id = target.entry.id.id;
+    message.id = call.request.id;
+    message.method = call.request.method;
+    message.target = call.request.target;
+    message.host = call.request.host;
+    message.headers = call.request.headers;
+    message.body = call.request.body;
+    return message;
+}
+
+void call_forwarder::send_to(const call_ptr& call, const std::shared_ptr<target_state>& target)
+{
+    call->target = target;
+    call->tried.push_back(target->entry.id.id);
+    placement_.note_sent(*target);
+    auto message = message_of(*call, *target);
+    auto done = [this, call](answer_message answer) { on_answer(call, std::move(answer)); };
+    if (target->entry.address == settings_.inbound.address().to_string()) {
+        const auto ticket =
+            local_.offer(std::move(message), settings_.service.str(), std::move(done));
+        if (call->target == target) {
+            call->local_ticket = ticket; // Not answered at once.
+        }
+        return;
+    }
+    const auto link = link_to(target->entry.address);
+    call->link = link;
+    call->stream = link->send(std::move(message), std::move(done));
+}
+
+std::shared_ptr<peer_link> call_forwarder::link_to(const std::string& address)
+{
+    auto& link = links_[address];
+    if (!link) {
+        auto handlers = link_handlers_;
+        handlers.leaving = [this, address] {
+            for (const auto& entry : targets_.entries()) {
+                const auto target = targets_.find(entry.id.id);
+                if (target && target->entry.address == address) {
+                    target->suspended_until = boot_clock::now() + leaving_suspension;
+                }
+            }
+        };
+        const tcp::endpoint peer(asio::ip::make_address(address), settings_.inbound.port());
+        link = std::make_shared<peer_link>(
+            context_, deadlines_, peer, hello_message{settings_.vm.str(), settings_.service.str()},
+            std::move(handlers));
+    }
+    return link;
+}
+
+void call_forwarder::note_answer(pending_call& call, const answer_message& answer,
+                                 call_outcome outcome)
+{
+    const auto now = boot_clock::now();
+    const auto target = std::exchange(call.target, nullptr);
+    call.link = nullptr;
+    call.stream = 0;
+    call.local_ticket = 0;
+    placement_.note_ended(*target, is_failure(answer, outcome));
+    if (answer.limit > 0) {
+        const target_load load{answer.running, answer.waiting, answer.limit,
+                               std::chrono::milliseconds(answer.hold_ms)};
+        placement_.note_load(*target, load, now);
+        levels_.record(call.service, level_key(route_key(call.way->name)), any_group,
+                       answer.level / level_scale, now);
+    }
+    if (outcome == call_outcome::unreachable) {
+        placement_.note_unreachable(*target, now);
+    }
+    else if (outcome == call_outcome::answered) {
+        placement_.note_reached(*target);
+    }
+}
+
+void call_forwarder::on_answer(const call_ptr& call, answer_message answer)
+{
+    const auto outcome = static_cast<call_outcome>(answer.outcome);
+    note_answer(*call, answer, outcome);
+    if (call->finished) {
+        return;
+    }
+    if (outcome == call_outcome::answered) {
+        finish(call, {answer.status, std::move(answer.headers), std::move(answer.body),
+                      std::move(answer.omitted_length)});
+        return;
+    }
+    const bool arrived = outcome == call_outcome::lost || outcome == call_outcome::declined;
+    ++(arrived ? call->history.arrivals : call->history.detours);
+    const bool in_time = boot_clock::now() < call->deadline;
+    if (in_time && may_send_again(*call->way, outcome, call->history, budget_of(call->service))) {
+        log(*call, "call_sent_again", arrived ? "target" : "detour");
+        send(call);
+        return;
+    }
+    give_up(call, outcome);
+}
+
+void call_forwarder::give_up(const call_ptr& call, call_outcome last)
+{
+    const bool may_have_run = last == call_outcome::lost;
+    if (may_have_run) {
+        fail(call, boot_clock::now() < call->deadline ? 502 : 504, "lost");
+        return;
+    }
+    refuse(call, "no_target", gate_.return_time(level_of(*call), random_()));
+}
+
+void call_forwarder::withdraw(pending_call& call)
+{
+    if (!call.target) {
+        return;
+    }
+    const auto target = std::exchange(call.target, nullptr);
+    placement_.note_ended(*target, false);
+    if (call.link) {
+        std::exchange(call.link, nullptr)->cancel(call.stream);
+    }
+    else {
+        local_.cancel(call.local_ticket);
+    }
+}
+
+void call_forwarder::on_deadline(const call_ptr& call)
+{
+    withdraw(*call);
+    fail(call, 504, "deadline");
+}
+
+void call_forwarder::caller_gone(const std::shared_ptr<caller_session>& caller)
+{
+    const auto it = calls_.find(caller.get());
+    if (it == calls_.end()) {
+        return;
+    }
+    const auto call = it->second;
+    calls_.erase(it);
+    call->finished = true;
+    log(*call, "caller_gone", "closed");
+    withdraw(*call);
+}
+
+void call_forwarder::refuse(const call_ptr& call, const char* reason,
+                            std::chrono::milliseconds retry_after)
+{
+    log(*call, "call_refused", reason);
+    const std::chrono::duration<double> seconds = retry_after;
+    finish(call, {503, header_line("Retry-After", std::to_string(seconds.count())), {}, {}});
+}
+
+void call_forwarder::fail(const call_ptr& call, unsigned status, const char* reason)
+{
+    log(*call, "call_failed", reason);
+    finish(call, {status, {}, {}, {}});
+}
+
+void call_forwarder::log(const pending_call& call, const char* event, const char* reason)
+{
+    const auto now = boot_clock::now();
+    if (!log_.begin(now)) {
+        return;
+    }
+    log_event line(event);
+    line.add("id", call.request.id).add("reason", reason);
+    line.add("after_ms", (now - call.request.arrived) / std::chrono::milliseconds(1));
+    if (call.way != nullptr) {
+        line.add("route", call.way->name)
+            .add("config", call.routes->config().version)
+            .add("service", call.service)
+            .add("level", level_of(call))
+            .add("nested", call.request.nested);
+    }
+    if (!call.tried.empty()) {
+        line.add("target", call.tried.back()).add("sends", call.tried.size());
+    }
+    log_.write(std::move(line));
+}
+
+void call_forwarder::finish(const call_ptr& call, const relay_answer& answer)
+{
+    call->finished = true;
+    const auto caller = call->caller.lock();
+    if (!caller) {
+        return;
+    }
+    calls_.erase(caller.get());
+    auto with_id = answer;
+    if (answer.headers.empty() || answer.status == 503) {
+        // Answers of targets carry the id already.
+        with_id.headers += header_line(settings_.headers.request_id, call->request.id);
+    }
+    caller->answer(with_id, !draining_);
+}
+
+bool call_forwarder::request_state(std::uint64_t known_revision)
+{
+    std::vector<std::shared_ptr<peer_link>> connected;
+    for (const auto& [address, link] : links_) {
+        if (link->is_connected()) {
+            connected.push_back(link);
+        }
+    }
+    if (connected.empty()) {
+        return false;
+    }
+    return connected[random_() % connected.size()]->request_state(known_revision);
+}
+
+void call_forwarder::close_unused_links(mono_time now)
+{
+    for (auto it = links_.begin(); it != links_.end();) {
+        const auto& link = it->second;
+        if (link->in_flight() == 0 && now - link->last_used() > link_idle_limit) {
+            link->close();
+            it = links_.erase(it);
+        }
+        else {
+            ++it;
+        }
+    }
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/relay/src/call_forwarder.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "decision_log.h"
+#include "local_target.h"
+#include "pending_call.h"
+
+#include "dispatch/first_hop_gate.h"
+#include "dispatch/placement.h"
+#include "dispatch/target_directory.h"
+#include "dispatch/weighted_rotation.h"
+#include "relay/relay_settings.h"
+#include "routing/flow_table.h"
+#include "routing/retry_budget.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+namespace trefoil {
+
+/// Takes the requests that begin on this VM, from callers and the own target, to a target of their
+/// service, and the answers back.
+class call_forwarder {
+public:
+    call_forwarder(asio::io_context& context, deadline_queue& deadlines, const relay_settings& s,
+                   target_directory& targets, local_target& local, decision_log& log,
+                   peer_link::handlers link_handlers);
+
+    void set_routes(std::shared_ptr<const route_table> routes);
+    const std::shared_ptr<const route_table>& routes() const noexcept { return routes_; }
+
+    void handle(const std::shared_ptr<caller_session>& caller, relay_request request);
+
+    /// The caller closed its connection: its request is cancelled wherever it is.
+    void caller_gone(const std::shared_ptr<caller_session>& caller);
+
+    /// Smallest admit level of the services that requests of this route reach by calls of the own
+    /// target.
+    double level_below(std::uint32_t route) const;
+
+    /// Answers tell callers to close their connections from now on.
+    void start_draining() { draining_ = true; }
+
+    /// Asks a peer for published state. False if no peer is connected.
+    bool request_state(std::uint64_t known_revision);
+
+    /// Closes links that have not been used for long.
+    void close_unused_links(mono_time now);
+
+    std::size_t in_flight() const noexcept { return calls_.size(); }
+
+private:
+    using call_ptr = std::shared_ptr<pending_call>;
+
+    bool admit(const call_ptr& call);
+    void send(const call_ptr& call);
+    void send_to(const call_ptr& call, const std::shared_ptr<target_state>& target);
+    call_message message_of(const pending_call& call, const target_state& target) const;
+    void on_answer(const call_ptr& call, answer_message answer);
+    void note_answer(pending_call& call, const answer_message& answer, call_outcome outcome);
+    void give_up(const call_ptr& call, call_outcome last);
+    void on_deadline(const call_ptr& call);
+    void withdraw(pending_call& call);
+    void refuse(const call_ptr& call, const char* reason, std::chrono::milliseconds retry_after);
+    void fail(const call_ptr& call, unsigned status, const char* reason);
+    void finish(const call_ptr& call, const relay_answer& answer);
+    void log(const pending_call& call, const char* event, const char* reason);
+    double level_of(const pending_call& call) const;
+    std::shared_ptr<peer_link> link_to(const std::string& address);
+    retry_budget& budget_of(const service_name& service);
+
+    asio::io_context& context_;
+    deadline_queue& deadlines_;
+    const relay_settings& settings_;
+    target_directory& targets_;
+    local_target& local_;
+    decision_log& log_;
+    peer_link::handlers link_handlers_;
+    placement placement_;
+    first_hop_gate gate_;
+    weighted_rotation rotation_;
+    flow_table levels_;
+    std::shared_ptr<const route_table> routes_;
+    std::map<std::string, std::shared_ptr<peer_link>> links_;
+    std::map<service_name, retry_budget> budgets_;
+    std::unordered_map<const caller_session*, call_ptr> calls_;
+    std::mt19937_64 random_;
+    bool draining_ = false;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/relay/src/caller_session.cpp
@@ -0,0 +1,208 @@
+#include "caller_session.h"
+
+#include "http_text.h"
+
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <utility>
+
+namespace trefoil {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Bytes of later requests that are read ahead while one is being answered.
+constexpr std::size_t max_read_ahead = 64 * 1024;
+
+/// A caller that takes nothing of its answer for this long is given up. Longer than the slowest
+/// reader that a link with packet loss explains.
+constexpr std::chrono::seconds unread_timeout{20};
+
+unsigned status_of(const boost::system::error_code& error)
+{
+    if (error == http::error::header_limit) {
+        return 431;
+    }
+    return error == http::error::body_limit ? 413 : 400;
+}
+
+bool is_interim_wanted(const http::fields& fields)
+{
+    const auto expect = find_header(fields, "expect");
+    return expect && same_name(*expect, "100-continue");
+}
+
+} // namespace
+
+caller_session::caller_session(tcp::socket socket, const header_dialect& names,
+                               const caller_limits& limits)
+    : stream_(std::make_shared<byte_stream>(std::move(socket))), names_(names), limits_(limits)
+{
+}
+
+void caller_session::start(handlers h, const asio::ip::address& own_address)
+{
+    handlers_ = std::move(h);
+    const auto peer = stream_->peer_address();
+    is_own_target_ = peer == own_address || peer.is_loopback();
+    last_progress_ = boot_clock::now();
+    // The stream owns this object through its handlers until it ends.
+    stream_->start({[self = shared_from_this()](auto& buffer) { self->on_data(buffer); },
+                    [self = shared_from_this()](auto) {
+                        if (std::exchange(self->busy_, false)) {
+                            self->handlers_.gone(self);
+                        }
+                        self->handlers_.ended(self);
+                    }});
+}
+
+void caller_session::on_data(boost::beast::flat_buffer& buffer)
+{
+    buffer_ = &buffer;
+    last_progress_ = boot_clock::now();
+    if (busy_) {
+        if (buffer.size() > max_read_ahead) {
+            stream_->pause_reading(true);
+        }
+        return;
+    }
+    parse(buffer);
+}
+
+void caller_session::parse(boost::beast::flat_buffer& buffer)
+{
+    if (closing_ || buffer.size() == 0) {
+        return;
+    }
+    if (!parser_) {
+        parser_.emplace();
+        parser_->eager(true);
+        parser_->header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
+        parser_->body_limit(limits_.max_body_bytes);
+        continue_sent_ = false;
+    }
+    boost::system::error_code error;
+    while (buffer.size() > 0 && !parser_->is_done()) {
+        const auto used = parser_->put(buffer.data(), error);
+        buffer.consume(used);
+        if (error || used == 0) {
+            break;
+        }
+    }
+    if (error && error != http::error::need_more) {
+        refuse(error);
+        return;
+    }
+    if (parser_->is_done()) {
+        dispatch();
+        return;
+    }
+    if (parser_->is_header_done() && !continue_sent_ && is_interim_wanted(parser_->get())) {
+        continue_sent_ = true;
+        stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+void caller_session::refuse(const boost::system::error_code& error)
+{
+    parser_.reset();
+    busy_ = true;
+    is_head_ = false;
+    answer({status_of(error), {}, error.message(), {}}, false);
+}
+
+void caller_session::dispatch()
+{
+    auto message = parser_->release();
+    parser_.reset();
+    busy_ = true;
+    keep_ = message.keep_alive();
+    is_head_ = message.method() == http::verb::head;
+    relay_request request;
+    request.arrived = last_progress_;
+    request.nested = is_own_target_;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.host = std::string(message[http::field::host]);
+    request.id = std::string(find_header(message, names_.request_id).value_or(""));
+    const auto patience = find_header(message, names_.time_left);
+    request.patience = patience
+                           ? parse_milliseconds(*patience).value_or(std::chrono::milliseconds(0))
+                           : std::chrono::milliseconds(0);
+    request.headers = end_to_end_headers(message, "host", names_.request_id, names_.time_left,
+                                         names_.expected_target, names_.caller_service);
+    request.body = std::move(message.body());
+    handlers_.request(shared_from_this(), std::move(request));
+}
+
+void caller_session::answer(const relay_answer& answer, bool keep)
+{
+    if (!busy_) {
+        return;
+    }
+    busy_ = false;
+    last_progress_ = boot_clock::now();
+    const bool stays = keep && keep_ && !closing_;
+    const auto reason = http::obsolete_reason(static_cast<http::status>(answer.status));
+    std::string text = "HTTP/1.1 " + std::to_string(answer.status) + ' ' +
+                       std::string(reason.data(), reason.size()) + "\r\n";
+    text.reserve(text.size() + answer.headers.size() + answer.body.size() + 64);
+    text += answer.headers;
+    if (is_head_ && !answer.omitted_length.empty()) {
+        text += header_line("Content-Length", answer.omitted_length);
+    }
+    else if (answer.status != 204 && answer.status != 304) {
+        text += header_line("Content-Length", std::to_string(answer.body.size()));
+    }
+    if (!stays) {
+        text += "Connection: close\r\n";
+    }
+    text += "\r\n";
+    if (!is_head_) {
+        text += answer.body;
+    }
+    stream_->write(std::move(text));
+    if (!stays) {
+        closing_ = true;
+        stream_->close_after_writes();
+        handlers_.ended(shared_from_this());
+        return;
+    }
+    stream_->pause_reading(false);
+    if (buffer_ != nullptr) {
+        parse(*buffer_);
+    }
+}
+
+void caller_session::check_timeouts(mono_time now)
+{
+    if (!stream_->is_open()) {
+        return;
+    }
+    const auto quiet = now - last_progress_;
+    const bool is_unread = stream_->unwritten() > 0;
+    const bool is_in_headers = parser_ && !parser_->is_header_done();
+    if ((is_unread && quiet > unread_timeout) ||
+        (!busy_ && is_in_headers && quiet > limits_.header_timeout) ||
+        (!busy_ && !is_unread && quiet > limits_.idle_timeout)) {
+        close();
+        handlers_.ended(shared_from_this());
+    }
+}
+
+void caller_session::close_when_idle()
+{
+    closing_ = true;
+    if (!busy_ && !parser_) {
+        stream_->close_after_writes();
+    }
+}
+
+void caller_session::close()
+{
+    stream_->close();
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/relay/src/local_target.cpp
@@ -0,0 +1,174 @@
+#include "local_target.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace trefoil {
+
+namespace {
+
+/// Slots assumed until the target's entry is known.
+constexpr std::uint32_t initial_slots = 16;
+
+/// The level in messages is in thousandths.
+constexpr double level_scale = 1000.0;
+
+} // namespace
+
+local_target::local_target(asio::io_context& context, deadline_queue& deadlines,
+                           tcp::endpoint upstream, const header_dialect& names, decision_log& log,
+                           level_source below)
+    : deadlines_(deadlines), client_(context, deadlines, std::move(upstream), names), log_(log),
+      below_(std::move(below)), queue_(initial_slots)
+{
+}
+
+void local_target::set_entry(const target_entry& entry)
+{
+    queue_.set_slots(std::max(1U, entry.slots));
+    advance();
+}
+
+std::uint64_t local_target::offer(call_message call, const std::string& caller_service,
+                                  answer_handler done)
+{
+    const auto now = boot_clock::now();
+    const auto ticket = ++last_ticket_;
+    const auto deadline = now + std::chrono::milliseconds(call.time_left_ms);
+    const waiting_call waiting{ticket, call.route, call.rank, call.nested, deadline};
+    calls_.emplace(ticket, running_call{std::move(call), caller_service, std::move(done), nullptr,
+                                        deadline, now});
+    if (draining_) {
+        refuse(ticket);
+        return ticket;
+    }
+    queue_.offer(waiting, now);
+    advance();
+    return ticket;
+}
+
+void local_target::advance()
+{
+    const auto now = boot_clock::now();
+    const auto changes = queue_.advance(now);
+    observe(now);
+    for (const auto ticket : changes.refused) {
+        refuse(ticket);
+    }
+    for (const auto ticket : changes.started) {
+        start(ticket);
+    }
+    arm_wakeup();
+}
+
+void local_target::observe(mono_time now)
+{
+    level_.observe(queue_.current_wait(now), queue_.load().hold, now);
+}
+
+void local_target::arm_wakeup()
+{
+    const auto next = queue_.next_wakeup();
+    if (!next || *next >= armed_for_) {
+        return;
+    }
+    armed_for_ = *next;
+    deadlines_.at(*next, [this] {
+        armed_for_ = mono_time::max();
+        advance();
+    });
+}
+
+void local_target::start(std::uint64_t ticket)
+{
+    const auto it = calls_.find(ticket);
+    if (it == calls_.end()) {
+        return;
+    }
+    auto& c = it->second;
+    const upstream_request request{
+        c.call.id,   c.call.method,    c.call.target,    c.call.host,       c.call.headers,
+        c.call.body, c.call.target_id, c.caller_service, c.call.idempotent, c.deadline};
+    c.exchange = client_.start(
+        request, [this, ticket](upstream_result result) { on_result(ticket, std::move(result)); });
+}
+
+void local_target::refuse(std::uint64_t ticket)
+{
+    const auto it = calls_.find(ticket);
+    if (it == calls_.end()) {
+        return;
+    }
+    const auto now = boot_clock::now();
+    if (log_.begin(now)) {
+        const auto load = queue_.load();
+        log_.write(log_event("call_turned_away")
+                       .add("id", it->second.call.id)
+                       .add("draining", draining_)
+                       .add("waited_ms", (now - it->second.offered) / std::chrono::milliseconds(1))
+                       .add("left_ms", (it->second.deadline - now) / std::chrono::milliseconds(1))
+                       .add("running", load.running)
+                       .add("waiting", load.waiting)
+                       .add("slots", load.limit));
+    }
+    answer_message answer;
+    answer.outcome = static_cast<std::uint8_t>(call_outcome::turned_away);
+    finish(ticket, false, std::move(answer));
+}
+
+void local_target::on_result(std::uint64_t ticket, upstream_result result)
+{
+    answer_message answer;
+    answer.outcome = static_cast<std::uint8_t>(result.outcome);
+    answer.status = result.answer.status;
+    answer.headers = std::move(result.answer.headers);
+    answer.body = std::move(result.answer.body);
+    answer.omitted_length = std::move(result.answer.omitted_length);
+    finish(ticket, result.outcome == call_outcome::answered, std::move(answer));
+    advance();
+}
+
+void local_target::finish(std::uint64_t ticket, bool completed, answer_message answer)
+{
+    const auto it = calls_.find(ticket);
+    if (it == calls_.end()) {
+        return;
+    }
+    const auto c = std::move(it->second);
+    calls_.erase(it);
+    queue_.finish(ticket, completed, boot_clock::now());
+    const auto load = queue_.load();
+    answer.stream = c.call.stream;
+    answer.running = load.running;
+    answer.waiting = load.waiting;
+    answer.limit = load.limit;
+    answer.hold_ms = static_cast<std::uint32_t>(load.hold.count());
+    answer.level =
+        static_cast<std::uint32_t>(std::min(level_.value(), below_(c.call.route)) * level_scale);
+    if (c.done) {
+        c.done(std::move(answer));
+    }
+}
+
+void local_target::cancel(std::uint64_t ticket)
+{
+    const auto it = calls_.find(ticket);
+    if (it == calls_.end()) {
+        return;
+    }
+    if (queue_.remove_waiting(ticket)) {
+        calls_.erase(it);
+        return;
+    }
+    it->second.done = nullptr;
+    if (!it->second.call.idempotent) {
+        return; // Stopping it would lose work that cannot be repeated.
+    }
+    if (it->second.exchange) {
+        upstream_client::cancel(it->second.exchange);
+    }
+    finish(ticket, false, {});
+    advance();
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/relay/src/local_target.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "deadline_queue.h"
+#include "decision_log.h"
+#include "node_message.h"
+#include "upstream_client.h"
+
+#include "dispatch/admit_level.h"
+#include "dispatch/run_queue.h"
+#include "dispatch/target_entry.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace trefoil {
+
+/// The target beside this node: queues requests for it, hands them over and reports its load.
+class local_target {
+public:
+    using answer_handler = std::function<void(answer_message)>;
+    /// Smallest admit level of the services that requests of the route reach through this target.
+    using level_source = std::function<double(std::uint32_t route)>;
+
+    local_target(asio::io_context& context, deadline_queue& deadlines, tcp::endpoint upstream,
+                 const header_dialect& names, decision_log& log, level_source below);
+
+    /// Takes over what the target publishes about itself.
+    void set_entry(const target_entry& entry);
+
+    /// Offers a request. `done` runs once, possibly at once, unless the request is cancelled.
+    std::uint64_t offer(call_message call, const std::string& caller_service, answer_handler done);
+
+    /// The answer is no longer wanted. Work that may run once only is finished all the same.
+    void cancel(std::uint64_t ticket);
+
+    /// Turns new requests away from now on.
+    void start_draining() { draining_ = true; }
+
+    /// Requests that wait or run.
+    std::size_t in_flight() const noexcept { return calls_.size(); }
+
+    target_load load() const { return queue_.load(); }
+    double level() const noexcept { return level_.value(); }
+
+private:
+    struct running_call {
+        call_message call;
+        std::string caller_service;
+        answer_handler done;
+        std::shared_ptr<upstream_exchange> exchange;
+        mono_time deadline;
+        mono_time offered;
+    };
+
+    void advance();
+    void start(std::uint64_t ticket);
+    void refuse(std::uint64_t ticket);
+    void on_result(std::uint64_t ticket, upstream_result result);
+    void finish(std::uint64_t ticket, bool completed, answer_message answer);
+    void arm_wakeup();
+    void observe(mono_time now);
+
+    deadline_queue& deadlines_;
+    upstream_client client_;
+    decision_log& log_;
+    level_source below_;
+    run_queue queue_;
+    admit_level level_;
+    std::unordered_map<std::uint64_t, running_call> calls_;
+    std::uint64_t last_ticket_ = 0;
+    mono_time armed_for_ = mono_time::max();
+    bool draining_ = false;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/relay/src/node_codec.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "node_message.h"
+
+#include "base/error.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace trefoil {
+
+/// Thrown when the bytes of a peer are no message.
+class invalid_node_message : public error {
+public:
+    explicit invalid_node_message(const std::string& detail) : error("node message: " + detail) {}
+};
+
+/// A message whose fields are not decoded.
+struct raw_node_message {
+    node_message_kind kind = node_message_kind::ping;
+    std::string_view fields;
+};
+
+/// Header of a message: length and kind.
+inline constexpr std::size_t node_message_header = 5;
+
+/// Takes the first whole message of the buffer; none if more bytes are needed. The view is valid
+/// until the buffer is consumed by `size_of`. Throws invalid_node_message for a length that no
+/// message has.
+std::optional<raw_node_message> peek_message(const boost::beast::flat_buffer& buffer);
+
+/// Bytes that the message takes in the buffer.
+std::size_t size_of(const raw_node_message& message);
+
+/// Message without fields.
+std::string encode_message(node_message_kind kind, std::string_view fields = {});
+
+template<class Fields>
+std::string encode_message(node_message_kind kind, const Fields& fields)
+{
+    msgpack::sbuffer packed;
+    msgpack::pack(packed, fields);
+    return encode_message(kind, std::string_view(packed.data(), packed.size()));
+}
+
+/// Throws invalid_node_message if the fields do not fit.
+template<class Fields>
+Fields decode_fields(const raw_node_message& message)
+{
+    try {
+        return msgpack::unpack(message.fields.data(), message.fields.size())
+            .get()
+            .template as<Fields>();
+    }
+    catch (const msgpack::unpack_error& e) {
+        throw invalid_node_message(e.what());
+    }
+    catch (const msgpack::type_error& e) {
+        throw invalid_node_message(e.what());
+    }
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/relay/src/peer_link.cpp
@@ -0,0 +1,217 @@
+#include "peer_link.h"
+
+#include "node_codec.h"
+
+#include "base/log_event.h"
+
+#include <utility>
+
+namespace trefoil {
+
+namespace {
+
+/// A connection that is not open after this time is given up; links add a few milliseconds, and a
+/// lost opening packet is sent again after one second.
+constexpr std::chrono::milliseconds connect_timeout{1300};
+
+/// Time between looks at a connection on which something is due.
+constexpr std::chrono::milliseconds check_interval{500};
+
+/// A connection on which nothing arrives for this long, pings included, is dead. Three
+/// retransmissions on a lossy link fit in.
+constexpr std::chrono::milliseconds silence_limit{1600};
+
+/// A link that was used within this time is watched by pings, so that it is known to be alive when
+/// the next request comes.
+constexpr std::chrono::seconds watch_time{3};
+
+} // namespace
+
+peer_link::peer_link(asio::io_context& context, deadline_queue& deadlines, tcp::endpoint peer,
+                     hello_message hello, handlers h)
+    : context_(context), deadlines_(deadlines), peer_(std::move(peer)), hello_(std::move(hello)),
+      handlers_(std::move(h))
+{
+}
+
+void peer_link::open()
+{
+    stream_ = std::make_shared<byte_stream>(tcp::socket(context_));
+    opened_ = boot_clock::now();
+    last_received_ = opened_;
+    const std::weak_ptr<peer_link> weak = weak_from_this();
+    const auto stream = stream_;
+    stream_->connect(peer_,
+                     {[weak](auto& buffer) {
+                          if (const auto self = weak.lock()) {
+                              self->on_data(buffer);
+                          }
+                      },
+                      [weak, stream = std::weak_ptr(stream)](auto) {
+                          const auto self = weak.lock();
+                          if (self && self->stream_ == stream.lock()) {
+                              self->on_lost();
+                          }
+                      }},
+                     [weak, stream](auto error) {
+                         const auto self = weak.lock();
+                         if (!self || self->stream_ != stream) {
+                             return;
+                         }
+                         if (error) {
+                             self->on_lost();
+                             return;
+                         }
+                         self->connected_ = true;
+                         self->last_received_ = boot_clock::now();
+                     });
+    stream_->write(encode_message(node_message_kind::hello, hello_));
+}
+
+std::uint32_t peer_link::send(call_message call, peer_answer_handler done)
+{
+    if (!stream_) {
+        open();
+    }
+    last_used_ = boot_clock::now();
+    const auto stream = ++last_stream_;
+    call.stream = stream;
+    waiting_.emplace(stream, std::move(done));
+    stream_->write(encode_message(node_message_kind::call, call));
+    schedule_check();
+    return stream;
+}
+
+void peer_link::cancel(std::uint32_t stream)
+{
+    if (waiting_.erase(stream) != 0 && stream_) {
+        stream_->write(encode_message(node_message_kind::cancel, cancel_message{stream}));
+    }
+}
+
+bool peer_link::request_state(std::uint64_t known_revision)
+{
+    if (!connected_) {
+        return false;
+    }
+    stream_->write(
+        encode_message(node_message_kind::state_request, state_request_message{known_revision}));
+    return true;
+}
+
+void peer_link::on_data(boost::beast::flat_buffer& buffer)
+{
+    last_received_ = boot_clock::now();
+    try {
+        while (const auto message = peek_message(buffer)) {
+            const auto size = size_of(*message);
+            handle(*message);
+            buffer.consume(size);
+        }
+    }
+    catch (const invalid_node_message& e) {
+        log_event("peer_message_invalid").add("peer", peer_).add("detail", e.what()).warning();
+        on_lost();
+    }
+}
+
+void peer_link::handle(const raw_node_message& message)
+{
+    switch (message.kind) {
+    case node_message_kind::answer: {
+        auto answer = decode_fields<answer_message>(message);
+        const auto it = waiting_.find(answer.stream);
+        if (it != waiting_.end()) {
+            const auto done = std::move(it->second);
+            waiting_.erase(it);
+            done(std::move(answer));
+        }
+        break;
+    }
+    case node_message_kind::leaving:
+        handlers_.leaving();
+        break;
+    case node_message_kind::state:
+        handlers_.state(decode_fields<state_message>(message));
+        break;
+    case node_message_kind::state_request:
+        if (const auto own =
+                handlers_.own_state(decode_fields<state_request_message>(message).revision)) {
+            stream_->write(encode_message(node_message_kind::state, *own));
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+void peer_link::on_lost()
+{
+    const bool was_connected = std::exchange(connected_, false);
+    if (stream_) {
+        std::exchange(stream_, nullptr)->close();
+    }
+    if (closed_) {
+        return;
+    }
+    if (!waiting_.empty()) {
+        log_event("peer_lost")
+            .add("peer", peer_)
+            .add("connected", was_connected)
+            .add("in_flight", waiting_.size())
+            .warning();
+    }
+    answer_message lost;
+    lost.outcome =
+        static_cast<std::uint8_t>(was_connected ? call_outcome::lost : call_outcome::unreachable);
+    for (auto& [stream, done] : std::exchange(waiting_, {})) {
+        done(lost);
+    }
+}
+
+void peer_link::schedule_check()
+{
+    if (check_scheduled_) {
+        return;
+    }
+    check_scheduled_ = true;
+    deadlines_.at(boot_clock::now() + check_interval, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->check();
+        }
+    });
+}
+
+void peer_link::check()
+{
+    check_scheduled_ = false;
+    if (!stream_) {
+        return;
+    }
+    const auto now = boot_clock::now();
+    const bool is_silent = now - last_received_ > silence_limit;
+    if ((connected_ && is_silent) || (!connected_ && now - opened_ > connect_timeout)) {
+        on_lost();
+        return;
+    }
+    if (connected_ && now - last_received_ > check_interval) {
+        stream_->write(encode_message(node_message_kind::ping));
+    }
+    if (!waiting_.empty() || !connected_ || now - last_used_ < watch_time) {
+        schedule_check();
+    }
+    else {
+        // An idle connection may go silent unnoticed; the next request opens a new one.
+        std::exchange(stream_, nullptr)->close();
+        connected_ = false;
+    }
+}
+
+void peer_link::close()
+{
+    closed_ = true;
+    on_lost();
+    waiting_.clear();
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/relay/src/peer_link.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "byte_stream.h"
+#include "deadline_queue.h"
+#include "node_message.h"
+
+#include "dispatch/call_outcome.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace trefoil {
+
+/// What the receiver of a request reported, or what became of the connection to it.
+using peer_answer_handler = std::function<void(answer_message)>;
+
+/// One connection to the node on another VM, over which all requests to its target go. Reconnects
+/// on demand. Found dead when nothing arrives for a while although something is due.
+class peer_link : public std::enable_shared_from_this<peer_link> {
+public:
+    struct handlers {
+        /// The peer is shutting down and takes no new requests.
+        std::function<void()> leaving;
+        std::function<void(state_message)> state;
+        /// The published state for a peer that knows the revision; none if nothing is newer.
+        std::function<std::optional<state_message>(std::uint64_t known_revision)> own_state;
+    };
+
+    peer_link(asio::io_context& context, deadline_queue& deadlines, tcp::endpoint peer,
+              hello_message hello, handlers h);
+
+    /// Sends a request; `done` runs once unless the request is cancelled first. Returns the number
+    /// by which to cancel it.
+    std::uint32_t send(call_message call, peer_answer_handler done);
+
+    /// Tells the peer that the answer is no longer wanted.
+    void cancel(std::uint32_t stream);
+
+    /// Asks for the peer's published state. False if there is no connection.
+    bool request_state(std::uint64_t known_revision);
+
+    bool is_connected() const noexcept { return connected_; }
+    std::size_t in_flight() const noexcept { return waiting_.size(); }
+
+    /// Time of the last use, for closing links that are no longer needed.
+    mono_time last_used() const noexcept { return last_used_; }
+
+    void close();
+
+private:
+    void open();
+    void on_data(boost::beast::flat_buffer& buffer);
+    void handle(const struct raw_node_message& message);
+    void on_lost();
+    void check();
+    void schedule_check();
+
+    asio::io_context& context_;
+    deadline_queue& deadlines_;
+    tcp::endpoint peer_;
+    hello_message hello_;
+    handlers handlers_;
+    std::shared_ptr<byte_stream> stream_;
+    std::unordered_map<std::uint32_t, peer_answer_handler> waiting_;
+    std::uint32_t last_stream_ = 0;
+    mono_time last_received_;
+    mono_time last_used_;
+    mono_time opened_;
+    bool connected_ = false;
+    bool check_scheduled_ = false;
+    bool closed_ = false;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/relay/src/peer_session.cpp
@@ -0,0 +1,117 @@
+#include "peer_session.h"
+
+#include "node_codec.h"
+
+#include "base/log_event.h"
+
+#include <utility>
+
+namespace trefoil {
+
+peer_session::peer_session(tcp::socket socket)
+    : stream_(std::make_shared<byte_stream>(std::move(socket)))
+{
+}
+
+void peer_session::start(handlers h)
+{
+    handlers_ = std::move(h);
+    // The stream owns this object through its handlers until it ends.
+    stream_->start({[self = shared_from_this()](auto& buffer) { self->on_data(buffer); },
+                    [self = shared_from_this()](auto) { self->on_ended(); }});
+}
+
+void peer_session::on_data(boost::beast::flat_buffer& buffer)
+{
+    try {
+        while (const auto message = peek_message(buffer)) {
+            const auto size = size_of(*message);
+            handle(*message);
+            buffer.consume(size);
+        }
+    }
+    catch (const invalid_node_message& e) {
+        log_event("peer_message_invalid").add("detail", e.what()).warning();
+        stream_->close();
+        on_ended();
+    }
+}
+
+void peer_session::handle(const raw_node_message& message)
+{
+    switch (message.kind) {
+    case node_message_kind::hello:
+        caller_service_ = decode_fields<hello_message>(message).service;
+        handlers_.greeted(shared_from_this());
+        break;
+    case node_message_kind::call: {
+        auto call = decode_fields<call_message>(message);
+        const auto stream = call.stream;
+        tickets_[stream] = 0;
+        const auto ticket = handlers_.call(shared_from_this(), caller_service_, std::move(call));
+        const auto it = tickets_.find(stream);
+        if (it != tickets_.end()) {
+            it->second = ticket; // Not answered at once.
+        }
+        break;
+    }
+    case node_message_kind::cancel: {
+        const auto it = tickets_.find(decode_fields<cancel_message>(message).stream);
+        if (it != tickets_.end()) {
+            const auto ticket = it->second;
+            tickets_.erase(it);
+            handlers_.cancel(ticket);
+        }
+        break;
+    }
+    case node_message_kind::ping:
+        stream_->write(encode_message(node_message_kind::pong));
+        break;
+    case node_message_kind::state_request:
+        if (const auto own =
+                handlers_.own_state(decode_fields<state_request_message>(message).revision)) {
+            stream_->write(encode_message(node_message_kind::state, *own));
+        }
+        break;
+    case node_message_kind::state:
+        handlers_.state(decode_fields<state_message>(message));
+        break;
+    default:
+        break;
+    }
+}
+
+void peer_session::answer(const answer_message& answer)
+{
+    if (tickets_.erase(answer.stream) != 0) {
+        stream_->write(encode_message(node_message_kind::answer, answer));
+    }
+}
+
+void peer_session::tell_leaving()
+{
+    if (!std::exchange(leaving_told_, true)) {
+        stream_->write(encode_message(node_message_kind::leaving));
+    }
+}
+
+void peer_session::request_state(std::uint64_t known_revision)
+{
+    stream_->write(
+        encode_message(node_message_kind::state_request, state_request_message{known_revision}));
+}
+
+void peer_session::on_ended()
+{
+    for (const auto& [stream, ticket] : std::exchange(tickets_, {})) {
+        handlers_.cancel(ticket);
+    }
+    handlers_.ended(shared_from_this());
+}
+
+void peer_session::close()
+{
+    stream_->close();
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/relay/src/peer_session.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "byte_stream.h"
+#include "node_message.h"
+
+#include "base/time.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace trefoil {
+
+/// One connection from the node on another VM, which sends requests for the own target.
+class peer_session : public std::enable_shared_from_this<peer_session> {
+public:
+    struct handlers {
+        /// A request for the own target. Returns the ticket by which it can be cancelled; answered
+        /// by `answer`.
+        std::function<std::uint64_t(const std::shared_ptr<peer_session>&,
+                                    const std::string& caller_service, call_message)>
+            call;
+        std::function<void(std::uint64_t ticket)> cancel;
+        /// A peer connected.
+        std::function<void(const std::shared_ptr<peer_session>&)> greeted;
+        std::function<void(state_message)> state;
+        /// The published state for a peer that knows the revision; none if nothing is newer.
+        std::function<std::optional<state_message>(std::uint64_t known_revision)> own_state;
+        std::function<void(const std::shared_ptr<peer_session>&)> ended;
+    };
+
+    explicit peer_session(tcp::socket socket);
+
+    void start(handlers h);
+
+    /// Sends the answer to a request; ignored if the connection has ended.
+    void answer(const answer_message& answer);
+
+    /// Tells the peer that this node takes no new requests.
+    void tell_leaving();
+
+    /// Asks for the peer's published state.
+    void request_state(std::uint64_t known_revision);
+
+    void close();
+
+private:
+    void on_data(boost::beast::flat_buffer& buffer);
+    void handle(const struct raw_node_message& message);
+    void on_ended();
+
+    std::shared_ptr<byte_stream> stream_;
+    handlers handlers_;
+    std::string caller_service_;
+    /// Tickets by the peer's numbers.
+    std::unordered_map<std::uint32_t, std::uint64_t> tickets_;
+    bool leaving_told_ = false;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/relay/src/pending_call.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "caller_session.h"
+#include "peer_link.h"
+#include "relay_call.h"
+
+#include "dispatch/resend_rule.h"
+#include "dispatch/route_table.h"
+#include "dispatch/target_state.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace trefoil {
+
+/// One request of a caller on its way through this node.
+struct pending_call {
+    relay_request request;
+    std::weak_ptr<caller_session> caller;
+    /// Keeps `way` alive while a newer configuration is in force.
+    std::shared_ptr<const route_table> routes;
+    const route* way = nullptr;
+    service_name service;
+    mono_time deadline;
+    send_history history;
+    std::vector<std::string> tried;
+    /// Where the request is now; null while it is nowhere.
+    std::shared_ptr<target_state> target;
+    std::shared_ptr<peer_link> link;
+    std::uint32_t stream = 0;
+    std::uint64_t local_ticket = 0;
+    bool finished = false;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/relay/src/relay_call.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "base/time.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace trefoil {
+
+/// A request as a caller sent it, ready to be passed on.
+struct relay_request {
+    std::string id;
+    std::string method;
+    std::string target;
+    std::string host;
+    /// End-to-end headers as lines, without host, id and those that nodes set.
+    std::string headers;
+    std::string body;
+    /// Sent by the own target in the course of a request that it runs.
+    bool nested = false;
+    mono_time arrived;
+    /// What the caller said it will wait.
+    std::chrono::milliseconds patience{0};
+};
+
+/// An answer to a caller.
+struct relay_answer {
+    unsigned status = 503;
+    /// End-to-end headers as lines.
+    std::string headers;
+    std::string body;
+    /// The answer to a HEAD request names a length without a body.
+    std::string omitted_length;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/relay/src/relay_node.cpp
@@ -0,0 +1,326 @@
+#include "relay/relay_node.h"
+
+#include "acceptor.h"
+#include "call_forwarder.h"
+#include "caller_session.h"
+#include "deadline_queue.h"
+#include "local_target.h"
+#include "peer_session.h"
+
+#include "base/log_event.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace trefoil {
+
+namespace {
+
+/// Time between looks at idle connections, memory and unconfirmed targets.
+constexpr std::chrono::milliseconds sweep_interval{500};
+
+/// Least time from the start of a drain to the end of the process. Callers that were told twice, a
+/// second apart, that the node is not ready send it nothing new.
+constexpr std::chrono::milliseconds least_drain{2300};
+
+/// Time before the end of the grace time at which a drain ends in any case.
+constexpr std::chrono::milliseconds drain_margin{300};
+
+/// Time without any request in progress after which a drain may end.
+constexpr std::chrono::milliseconds quiet_time{150};
+
+constexpr std::chrono::milliseconds drain_check_interval{50};
+
+/// Part of the memory that answers waiting for slow callers may take.
+constexpr std::size_t held_part = 4;
+
+} // namespace
+
+class relay_node::impl {
+public:
+    impl(asio::io_context& c, relay_settings s)
+        : context(c), settings(std::move(s)), deadlines(c),
+          local(c, deadlines, settings.upstream, settings.headers, log,
+                [this](std::uint32_t route) { return forwarder.level_below(route); }),
+          forwarder(c, deadlines, settings, targets, local, log, link_handlers()),
+          outbound(c, settings.outbound,
+                   [this](tcp::socket socket) { accept_caller(std::move(socket)); }),
+          inbound(c, settings.inbound,
+                  [this](tcp::socket socket) { accept_peer(std::move(socket)); }),
+          ready(c, settings.ready, [this](tcp::socket socket) { accept_probe(std::move(socket)); })
+    {
+    }
+
+    peer_link::handlers link_handlers()
+    {
+        return {[] {}, [this](const state_message& state) { receive_state(state); },
+                [this](std::uint64_t known) { return own_state(known); }};
+    }
+
+    void accept_caller(tcp::socket socket)
+    {
+        const auto session =
+            std::make_shared<caller_session>(std::move(socket), settings.headers, limits);
+        callers.insert(session);
+        session->start({[this](const auto& s, relay_request request) {
+                            forwarder.handle(s, std::move(request));
+                        },
+                        [this](const auto& s) { forwarder.caller_gone(s); },
+                        [this](const auto& s) { callers.erase(s); }},
+                       settings.outbound.address());
+    }
+
+    void accept_probe(tcp::socket socket)
+    {
+        const auto session =
+            std::make_shared<caller_session>(std::move(socket), settings.headers, limits);
+        probes.insert(session);
+        session->start({[this](const auto& s, const relay_request& request) {
+                            const bool known = request.target == settings.ready_path;
+                            s->answer({!known ? 404U : is_ready() ? 200U : 503U, {}, {}, {}}, true);
+                        },
+                        [](const auto&) {}, [this](const auto& s) { probes.erase(s); }},
+                       settings.ready.address());
+    }
+
+    void accept_peer(tcp::socket socket)
+    {
+        const auto session = std::make_shared<peer_session>(std::move(socket));
+        peers.insert(session);
+        session->start({[this](const auto& s, const std::string& service, call_message call) {
+                            const std::weak_ptr<peer_session> weak = s;
+                            return local.offer(std::move(call), service,
+                                               [weak](const answer_message& answer) {
+                                                   if (const auto peer = weak.lock()) {
+                                                       peer->answer(answer);
+                                                   }
+                                               });
+                        },
+                        [this](std::uint64_t ticket) { local.cancel(ticket); },
+                        [this](const auto& s) {
+                            if (!exchange.is_live()) {
+                                s->request_state(exchange.known());
+                            }
+                        },
+                        [this](const state_message& state) { receive_state(state); },
+                        [this](std::uint64_t known) { return own_state(known); },
+                        [this](const auto& s) { peers.erase(s); }});
+        if (draining) {
+            session->tell_leaving();
+        }
+    }
+
+    std::optional<state_message> own_state(std::uint64_t known) const
+    {
+        state_message state;
+        state.live = exchange.is_live();
+        const auto items = exchange.items(known, state.revision);
+        if (items.empty()) {
+            return std::nullopt;
+        }
+        for (const auto& item : items) {
+            state.items.push_back({item.key, item.value, item.revision});
+        }
+        return state;
+    }
+
+    void receive_state(const state_message& state) const
+    {
+        std::vector<published_item> items;
+        for (const auto& item : state.items) {
+            items.push_back({item.key, item.value, item.revision, false});
+        }
+        exchange.received(items, state.revision, state.live);
+    }
+
+    bool is_ready() const { return !draining && forwarder.routes() != nullptr; }
+
+    void sweep()
+    {
+        const auto now = boot_clock::now();
+        std::size_t held = 0;
+        const auto open = callers; // Closing a session removes it.
+        for (const auto& session : open) {
+            session->check_timeouts(now);
+            held += session->held_bytes();
+        }
+        if (held > settings.memory_bytes / held_part) {
+            close_slowest();
+        }
+        for (const auto& id : targets.expire(now)) {
+            log_event("target_dropped").add("target", id).add("reason", "not confirmed").info();
+        }
+        forwarder.close_unused_links(now);
+        deadlines.at(now + sweep_interval, [this] { sweep(); });
+    }
+
+    /// Frees the memory of the caller that has the most unread bytes.
+    void close_slowest()
+    {
+        const auto slowest =
+            std::max_element(callers.begin(), callers.end(), [](const auto& a, const auto& b) {
+                return a->held_bytes() < b->held_bytes();
+            });
+        if (slowest == callers.end()) {
+            return;
+        }
+        const auto session = *slowest;
+        log_event("caller_closed")
+            .add("reason", "unread answers")
+            .add("bytes", session->held_bytes())
+            .warning();
+        session->close();
+        callers.erase(session);
+    }
+
+    void check_drained()
+    {
+        const auto now = boot_clock::now();
+        const bool is_busy = local.in_flight() + forwarder.in_flight() > 0;
+        if (is_busy) {
+            quiet_since = now;
+        }
+        const bool is_quiet = now - quiet_since >= quiet_time && now >= drain_start + least_drain;
+        const bool is_over = now >= drain_start + settings.grace - drain_margin;
+        if (!is_quiet && !is_over) {
+            deadlines.at(now + drain_check_interval, [this] { check_drained(); });
+            return;
+        }
+        log_event("node_drained")
+            .add("vm", settings.vm)
+            .add("in_flight", local.in_flight() + forwarder.in_flight())
+            .info();
+        drained();
+    }
+
+    asio::io_context& context;
+    const relay_settings settings;
+    caller_limits limits;
+    deadline_queue deadlines;
+    decision_log log;
+    target_directory targets;
+    local_target local;
+    call_forwarder forwarder;
+    peer_state_exchange exchange;
+    std::set<std::shared_ptr<caller_session>> callers;
+    std::set<std::shared_ptr<caller_session>> probes;
+    std::set<std::shared_ptr<peer_session>> peers;
+    acceptor outbound;
+    acceptor inbound;
+    acceptor ready;
+    std::function<void()> drained;
+    mono_time drain_start;
+    mono_time quiet_since;
+    bool draining = false;
+};
+
+relay_node::relay_node(asio::io_context& context, relay_settings settings)
+    : impl_(std::make_unique<impl>(context, std::move(settings)))
+{
+}
+
+relay_node::~relay_node() = default;
+
+void relay_node::set_state_exchange(peer_state_exchange exchange)
+{
+    impl_->exchange = std::move(exchange);
+}
+
+void relay_node::start()
+{
+    impl_->outbound.start();
+    impl_->inbound.start();
+    impl_->ready.start();
+    impl_->sweep();
+    log_event("node_started")
+        .add("vm", impl_->settings.vm)
+        .add("zone", impl_->settings.zone)
+        .add("service", impl_->settings.service)
+        .add("outbound", impl_->settings.outbound)
+        .add("inbound", impl_->settings.inbound)
+        .info();
+}
+
+void relay_node::set_config(traffic_config config)
+{
+    const auto& current = impl_->forwarder.routes();
+    if (current && config.version <= current->config().version) {
+        return;
+    }
+    log_event("config_applied")
+        .add("version", config.version)
+        .add("replaces", current ? current->config().version : config_version{})
+        .add("routes", config.routes.size())
+        .info();
+    impl_->limits = config.limits;
+    impl_->forwarder.set_routes(std::make_shared<route_table>(std::move(config)));
+}
+
+void relay_node::put_target(const target_entry& entry)
+{
+    const auto known = impl_->targets.find(entry.id.id);
+    if (!known || known->entry != entry) {
+        log_event("target_changed")
+            .add("target", entry.id.id)
+            .add("service", entry.service)
+            .add("address", entry.address)
+            .add("leaving", entry.leaving)
+            .add("warming", entry.warming)
+            .add("start", entry.id.start)
+            .info();
+    }
+    impl_->targets.put(entry);
+    const auto own = impl_->targets.at_address(impl_->settings.upstream.address().to_string(),
+                                               impl_->settings.upstream.port());
+    if (own && own->entry.id == entry.id) {
+        impl_->local.set_entry(entry);
+    }
+}
+
+void relay_node::remove_target(const std::string& id)
+{
+    log_event("target_removed").add("target", id).info();
+    impl_->targets.remove(id, boot_clock::now());
+}
+
+void relay_node::set_store_available(bool available)
+{
+    if (available) {
+        impl_->targets.source_regained(boot_clock::now());
+    }
+    else {
+        impl_->targets.source_lost();
+    }
+}
+
+bool relay_node::request_peer_state(std::uint64_t known_revision)
+{
+    if (impl_->forwarder.request_state(known_revision)) {
+        return true;
+    }
+    if (impl_->peers.empty()) {
+        return false;
+    }
+    (*impl_->peers.begin())->request_state(known_revision);
+    return true;
+}
+
+void relay_node::drain(std::function<void()> done)
+{
+    if (std::exchange(impl_->draining, true)) {
+        return;
+    }
+    log_event("node_draining").add("vm", impl_->settings.vm).info();
+    impl_->drained = std::move(done);
+    impl_->drain_start = boot_clock::now();
+    impl_->quiet_since = impl_->drain_start;
+    impl_->forwarder.start_draining();
+    impl_->local.start_draining();
+    for (const auto& peer : impl_->peers) {
+        peer->tell_leaving();
+    }
+    impl_->check_drained();
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/relay/src/upstream_client.cpp
@@ -0,0 +1,76 @@
+#include "upstream_client.h"
+
+#include "upstream_exchange.h"
+
+namespace trefoil {
+
+namespace {
+
+/// Idle time up to which a connection carries a request that must not run twice. If the target
+/// drops the connection as the request arrives, nobody knows whether it ran.
+constexpr std::chrono::milliseconds unrepeatable_idle_limit{1000};
+
+} // namespace
+
+upstream_client::idle_connection::~idle_connection()
+{
+    if (stream) {
+        stream->close();
+    }
+}
+
+upstream_client::upstream_client(asio::io_context& context, deadline_queue& deadlines,
+                                 tcp::endpoint target, const header_dialect& names)
+    : context_(context), deadlines_(deadlines), target_(std::move(target)), names_(names)
+{
+}
+
+std::shared_ptr<byte_stream> upstream_client::take_idle(bool idempotent)
+{
+    const auto now = boot_clock::now();
+    while (!idle_.empty()) {
+        auto& last = idle_.back();
+        if (!idempotent && now - last.since > unrepeatable_idle_limit) {
+            return nullptr; // The others have been idle for longer.
+        }
+        const bool usable = last.stream->is_open() && now < last.usable_until &&
+                            !last.stream->has_unexpected_input();
+        auto stream = std::move(last.stream);
+        idle_.pop_back();
+        if (usable) {
+            return stream;
+        }
+        stream->close();
+    }
+    return nullptr;
+}
+
+void upstream_client::keep(std::shared_ptr<byte_stream> stream, std::chrono::milliseconds usable)
+{
+    // Bytes that nobody asked for belong to no request, so they end the connection.
+    const std::weak_ptr<byte_stream> weak = stream;
+    stream->set_handlers({[weak](auto& buffer) {
+                              buffer.consume(buffer.size());
+                              if (const auto s = weak.lock()) {
+                                  s->close();
+                              }
+                          },
+                          [](auto) {}});
+    const auto now = boot_clock::now();
+    idle_.emplace_back(std::move(stream), now, now + usable);
+}
+
+std::shared_ptr<upstream_exchange> upstream_client::start(const upstream_request& request,
+                                                          result_handler done)
+{
+    auto exchange = std::make_shared<upstream_exchange>(*this, request, std::move(done));
+    exchange->start(request, take_idle(request.idempotent));
+    return exchange;
+}
+
+void upstream_client::cancel(const std::shared_ptr<upstream_exchange>& exchange)
+{
+    exchange->cancel();
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/relay/src/upstream_client.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "byte_stream.h"
+#include "deadline_queue.h"
+#include "relay_call.h"
+
+#include "dispatch/call_outcome.h"
+#include "relay/header_dialect.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace trefoil {
+
+/// A request as it goes to the own target.
+struct upstream_request {
+    std::string id;
+    std::string method;
+    std::string target;
+    std::string host;
+    std::string headers;
+    std::string body;
+    std::string target_id;
+    std::string caller_service;
+    bool idempotent = false;
+    mono_time deadline;
+};
+
+/// How the own target dealt with a request.
+struct upstream_result {
+    call_outcome outcome = call_outcome::lost;
+    relay_answer answer;
+    /// The connection was refused or reset: the target may have died.
+    bool is_reset = false;
+};
+
+/// Sends requests to the own target over kept connections, one request at a time on each. A request
+/// is written once; only if the target accepted no connection is it reported as unreachable.
+class upstream_client {
+public:
+    using result_handler = std::function<void(upstream_result)>;
+
+    upstream_client(asio::io_context& context, deadline_queue& deadlines, tcp::endpoint target,
+                    const header_dialect& names);
+
+    /// Starts a request; `done` runs once unless it is cancelled. Returns a handle for `cancel`.
+    std::shared_ptr<class upstream_exchange> start(const upstream_request& request,
+                                                   result_handler done);
+
+    /// Ends an exchange by closing its connection; `done` does not run.
+    static void cancel(const std::shared_ptr<class upstream_exchange>& exchange);
+
+    /// Closes all idle connections, for example because the target started again.
+    void close_idle() { idle_.clear(); }
+
+private:
+    friend class upstream_exchange;
+
+    struct idle_connection {
+        std::shared_ptr<byte_stream> stream;
+        mono_time since;
+        mono_time usable_until;
+
+        ~idle_connection();
+        idle_connection(std::shared_ptr<byte_stream> s, mono_time now, mono_time until)
+            : stream(std::move(s)), since(now), usable_until(until)
+        {
+        }
+        idle_connection(idle_connection&&) = default;
+        idle_connection& operator=(idle_connection&&) = default;
+        idle_connection(const idle_connection&) = delete;
+        idle_connection& operator=(const idle_connection&) = delete;
+    };
+
+    std::shared_ptr<byte_stream> take_idle(bool idempotent);
+    void keep(std::shared_ptr<byte_stream> stream, std::chrono::milliseconds usable);
+
+    asio::io_context& context_;
+    deadline_queue& deadlines_;
+    tcp::endpoint target_;
+    const header_dialect& names_;
+    std::vector<idle_connection> idle_;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/relay/src/upstream_exchange.cpp
@@ -0,0 +1,255 @@
+#include "upstream_exchange.h"
+
+#include "http_text.h"
+
+#include "base/log_event.h"
+
+#include <boost/beast/http/error.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace trefoil {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Largest answer that is passed on whole.
+constexpr std::uint64_t max_answer_body = 64U << 20U;
+
+/// Time by which the target's own answer at the deadline may come later.
+constexpr std::chrono::milliseconds late_answer_time{150};
+
+/// Targets that name no time keep idle connections for several seconds.
+constexpr std::chrono::milliseconds default_idle_time{4000};
+
+/// A connection is not reused in this last part of the idle time that the target named, since the
+/// target may close it just as a request is written.
+constexpr std::chrono::milliseconds idle_margin{1000};
+
+/// How long the connection may be reused after an answer with these headers.
+std::chrono::milliseconds idle_time(const http::fields& fields)
+{
+    constexpr std::string_view parameter = "timeout=";
+    const auto keep_alive = find_header(fields, "keep-alive");
+    const auto at = keep_alive ? keep_alive->find(parameter) : std::string_view::npos;
+    if (at == std::string_view::npos) {
+        return default_idle_time;
+    }
+    const auto text = keep_alive->substr(at + parameter.size());
+    int seconds = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    if (error != std::errc()) {
+        return default_idle_time;
+    }
+    return std::min<std::chrono::milliseconds>(std::chrono::seconds(seconds) - idle_margin,
+                                               default_idle_time);
+}
+
+} // namespace
+
+upstream_exchange::upstream_exchange(upstream_client& client, const upstream_request& request,
+                                     upstream_client::result_handler done)
+    : client_(client), done_(std::move(done)), id_(request.id), is_head_(request.method == "HEAD")
+{
+}
+
+void upstream_exchange::new_parser()
+{
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->body_limit(max_answer_body);
+    if (is_head_) {
+        parser_->skip(true);
+    }
+}
+
+byte_stream::handlers upstream_exchange::stream_handlers()
+{
+    return {[self = shared_from_this()](auto& buffer) { self->on_data(buffer); },
+            [self = shared_from_this()](auto error) { self->on_closed(error); }};
+}
+
+std::string upstream_exchange::request_text(const upstream_request& request) const
+{
+    const auto& names = client_.names_;
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - boot_clock::now());
+    std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+    text.reserve(text.size() + request.headers.size() + request.body.size() + 256);
+    text += header_line("Host", request.host);
+    text += header_line(names.request_id, request.id);
+    text += header_line(names.time_left, std::to_string(std::max<std::int64_t>(1, left.count())));
+    text += header_line(names.expected_target, request.target_id);
+    text += header_line(names.caller_service, request.caller_service);
+    text += request.headers;
+    const bool has_body = !request.body.empty() || request.method == "POST" ||
+                          request.method == "PUT" || request.method == "PATCH";
+    if (has_body) {
+        text += header_line("Content-Length", std::to_string(request.body.size()));
+    }
+    text += "\r\n";
+    text += request.body;
+    return text;
+}
+
+void upstream_exchange::start(const upstream_request& request, std::shared_ptr<byte_stream> reused)
+{
+    new_parser();
+    client_.deadlines_.at(request.deadline + late_answer_time, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->on_deadline();
+        }
+    });
+    if (reused) {
+        stream_ = std::move(reused);
+        stream_->set_handlers(stream_handlers());
+        stream_->write(request_text(request));
+        return;
+    }
+    stream_ = std::make_shared<byte_stream>(tcp::socket(client_.context_));
+    stream_->connect(client_.target_, stream_handlers(),
+                     [self = shared_from_this(), request](auto error) {
+                         if (!self->done_) {
+                             return;
+                         }
+                         if (error) {
+                             upstream_result result;
+                             result.outcome = call_outcome::unreachable;
+                             result.is_reset = true;
+                             self->finish(std::move(result));
+                             return;
+                         }
+                         self->stream_->write(self->request_text(request));
+                     });
+}
+
+void upstream_exchange::on_data(boost::beast::flat_buffer& buffer)
+{
+    while (done_ && buffer.size() > 0) {
+        boost::system::error_code error;
+        buffer.consume(parser_->put(buffer.data(), error));
+        if (error == http::error::need_more) {
+            return;
+        }
+        if (error) {
+            log_event("answer_invalid").add("id", id_).add("detail", error.message()).warning();
+            finish_lost(false);
+            return;
+        }
+        if (!parser_->is_done()) {
+            continue;
+        }
+        on_message(buffer);
+    }
+}
+
+bool upstream_exchange::is_own(const http::response<http::string_body>& message) const
+{
+    const auto answered = find_header(message, client_.names_.request_id);
+    return answered ? *answered == id_ : message.result_int() / 100 != 2;
+}
+
+void upstream_exchange::on_message(boost::beast::flat_buffer& buffer)
+{
+    auto message = parser_->release();
+    if (message.result_int() / 100 == 1) {
+        new_parser();
+        return;
+    }
+    if (!is_own(message)) {
+        // A surplus answer to an earlier request; the one that is due follows it.
+        log_event("answer_of_other_request").add("id", id_).warning();
+        is_clean_ = false;
+        new_parser();
+        return;
+    }
+    const bool keep =
+        message.keep_alive() && is_clean_ && buffer.size() == 0 && stream_->unwritten() == 0;
+    const auto usable = idle_time(message);
+    auto result = result_of(std::move(message));
+    if (keep && result.outcome != call_outcome::lost) {
+        client_.keep(std::exchange(stream_, nullptr), usable);
+    }
+    finish(std::move(result));
+}
+
+upstream_result upstream_exchange::result_of(http::response<http::string_body> message)
+{
+    const auto& names = client_.names_;
+    upstream_result result;
+    const bool has_proof = find_header(message, names.answer_proof).has_value();
+    const bool has_not_run = find_header(message, names.not_run).has_value();
+    const bool is_encoded = find_header(message, "content-encoding").has_value();
+    result.answer.status = message.result_int();
+    if (has_not_run || result.answer.status == 421) {
+        result.outcome = call_outcome::declined;
+        return result;
+    }
+    if (result.answer.status / 100 == 2 && (!has_proof || is_encoded)) {
+        log_event("answer_without_proof").add("id", id_).add("encoded", is_encoded).warning();
+        return result;
+    }
+    result.outcome = call_outcome::answered;
+    result.answer.headers = end_to_end_headers(message, names.target_load);
+    if (is_head_) {
+        result.answer.omitted_length = std::string(message[http::field::content_length]);
+    }
+    result.answer.body = std::move(message.body());
+    return result;
+}
+
+void upstream_exchange::on_closed(boost::system::error_code error)
+{
+    if (!done_) {
+        return;
+    }
+    if (error == asio::error::eof && parser_->is_header_done()) {
+        boost::system::error_code end;
+        parser_->put_eof(end);
+        if (!end && parser_->is_done()) {
+            if (is_own(parser_->get())) {
+                finish(result_of(parser_->release()));
+                return;
+            }
+        }
+    }
+    finish_lost(true);
+}
+
+void upstream_exchange::on_deadline()
+{
+    if (done_) {
+        finish_lost(false);
+    }
+}
+
+void upstream_exchange::finish_lost(bool is_reset)
+{
+    upstream_result result;
+    result.is_reset = is_reset;
+    finish(std::move(result));
+}
+
+void upstream_exchange::finish(upstream_result result)
+{
+    const auto done = std::exchange(done_, nullptr);
+    if (stream_) {
+        std::exchange(stream_, nullptr)->close();
+    }
+    if (done) {
+        done(std::move(result));
+    }
+}
+
+void upstream_exchange::cancel()
+{
+    done_ = nullptr;
+    if (stream_) {
+        std::exchange(stream_, nullptr)->close();
+    }
+}
+
+} // namespace trefoil
