Learn which routes a target calls and let the levels below reach the first hop

Calls were told from new requests by their source address, which is the same for both, so that no request was ever refused at the first hop. Calls carry the id of their run as a prefix, which names the run.

--- a/libs/relay/include/relay/header_dialect.h
+++ b/libs/relay/include/relay/header_dialect.h
@@ -19,6 +19,9 @@
     std::string answer_proof = "trefoil-proof";
     /// Set by targets on an answer without having run the request.
     std::string not_run = "trefoil-not-run";
+    /// A target that calls another service while it runs a request extends the id of that request
+    /// by this character and more; 0 if it does not.
+    char id_separator = '.';
     /// Set by targets: running requests, waiting requests and slots, separated by commas.
     std::string target_load = "trefoil-load";
 };
--- a/libs/relay/src/byte_stream.cpp
+++ b/libs/relay/src/byte_stream.cpp
@@ -187,11 +187,4 @@
     return buffer_.size() > 0 || count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-asio::ip::address byte_stream::peer_address() const
-{
-    boost::system::error_code error;
-    const auto endpoint = socket_.remote_endpoint(error);
-    return error ? asio::ip::address() : endpoint.address();
-}
-
 } // namespace trefoil
--- a/libs/relay/src/byte_stream.h
+++ b/libs/relay/src/byte_stream.h
@@ -51,7 +51,6 @@
 
     bool is_open() const noexcept { return open_; }
     std::size_t unwritten() const noexcept { return pending_.size() + in_write_.size(); }
-    asio::ip::address peer_address() const;
 
 private:
     void read();
--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -77,9 +77,15 @@
                             boot_clock::now());
 }
 
-double call_forwarder::level_below(std::uint32_t /*route*/) const
+double call_forwarder::level_below(std::uint32_t route) const
 {
-    return 1.0;
+    const auto now = boot_clock::now();
+    double level = 1.0;
+    for (const auto& child : graph_.children(route, now)) {
+        const std::array path{child.service};
+        level = std::min(level, levels_.smallest(path, level_key(child.route), any_group, now));
+    }
+    return level;
 }
 
 void call_forwarder::handle(const std::shared_ptr<caller_session>& caller, relay_request request)
@@ -108,6 +114,7 @@
     }
     call->deadline = call->request.arrived + patience;
     call->service = rotation_.next(*call->way);
+    note_lineage(*call);
     if (!admit(call)) {
         return;
     }
@@ -121,12 +128,23 @@
     send(call);
 }
 
+void call_forwarder::note_lineage(pending_call& call)
+{
+    call.rank = call.way->rank;
+    if (const auto parent = local_.parent_of(call.request.id)) {
+        call.nested = true;
+        call.rank = parent->rank;
+        graph_.record(parent->route, {route_key(call.way->name), call.service},
+                      call.request.arrived);
+    }
+}
+
 bool call_forwarder::admit(const call_ptr& call)
 {
-    if (call->request.nested) {
+    if (call->nested) {
         return true; // Work was spent on the request that it belongs to.
     }
-    const auto decision = gate_.decide(level_of(*call), call->way->rank, random_());
+    const auto decision = gate_.decide(level_of(*call), call->rank, random_());
     if (!decision.admitted) {
         refuse(call, "level", decision.retry_after);
     }
@@ -152,9 +170,9 @@
     call_message message;
     message.time_left_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(1, left.count()));
     message.route = route_key(call.way->name);
-    message.rank = call.way->rank;
+    message.rank = call.rank;
     message.idempotent = call.way->idempotent;
-    message.nested = call.request.nested;
+    message.nested = call.nested;
     message.target_id = target.entry.id.id;
     message.id = call.request.id;
     message.method = call.request.method;
@@ -325,7 +343,7 @@
             .add("config", call.routes->config().version)
             .add("service", call.service)
             .add("level", level_of(call))
-            .add("nested", call.request.nested);
+            .add("nested", call.nested);
     }
     if (!call.tried.empty()) {
         line.add("target", call.tried.back()).add("sends", call.tried.size());
--- a/libs/relay/src/call_forwarder.h
+++ b/libs/relay/src/call_forwarder.h
@@ -4,6 +4,7 @@
 #include "local_target.h"
 #include "pending_call.h"
 
+#include "dispatch/call_graph.h"
 #include "dispatch/first_hop_gate.h"
 #include "dispatch/placement.h"
 #include "dispatch/target_directory.h"
@@ -54,6 +55,7 @@
 private:
     using call_ptr = std::shared_ptr<pending_call>;
 
+    void note_lineage(pending_call& call);
     bool admit(const call_ptr& call);
     void send(const call_ptr& call);
     void send_to(const call_ptr& call, const std::shared_ptr<target_state>& target);
@@ -82,6 +84,7 @@
     first_hop_gate gate_;
     weighted_rotation rotation_;
     flow_table levels_;
+    call_graph graph_;
     std::shared_ptr<const route_table> routes_;
     std::map<std::string, std::shared_ptr<peer_link>> links_;
     std::map<service_name, retry_budget> budgets_;
--- a/libs/relay/src/caller_session.cpp
+++ b/libs/relay/src/caller_session.cpp
@@ -42,11 +42,9 @@
 {
 }
 
-void caller_session::start(handlers h, const asio::ip::address& own_address)
+void caller_session::start(handlers h)
 {
     handlers_ = std::move(h);
-    const auto peer = stream_->peer_address();
-    is_own_target_ = peer == own_address || peer.is_loopback();
     last_progress_ = boot_clock::now();
     // The stream owns this object through its handlers until it ends.
     stream_->start({[self = shared_from_this()](auto& buffer) { self->on_data(buffer); },
@@ -122,7 +120,6 @@
     is_head_ = message.method() == http::verb::head;
     relay_request request;
     request.arrived = last_progress_;
-    request.nested = is_own_target_;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     request.host = std::string(message[http::field::host]);
--- a/libs/relay/src/caller_session.h
+++ b/libs/relay/src/caller_session.h
@@ -29,8 +29,7 @@
 
     caller_session(tcp::socket socket, const header_dialect& names, const caller_limits& limits);
 
-    /// `own_address` tells calls of the own target from those of callers.
-    void start(handlers h, const asio::ip::address& own_address);
+    void start(handlers h);
 
     /// Answers the request in progress; ignored if the caller is gone. `keep` false ends the
     /// connection after the answer.
@@ -65,7 +64,6 @@
     std::optional<request_parser> parser_;
     boost::beast::flat_buffer* buffer_ = nullptr;
     mono_time last_progress_;
-    bool is_own_target_ = false;
     bool busy_ = false;
     bool keep_ = true;
     bool closing_ = false;
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -19,7 +19,7 @@
                            tcp::endpoint upstream, const header_dialect& names, decision_log& log,
                            level_source below)
     : deadlines_(deadlines), client_(context, deadlines, std::move(upstream), names), log_(log),
-      below_(std::move(below)), queue_(initial_slots)
+      below_(std::move(below)), queue_(initial_slots), names_(names)
 {
 }
 
@@ -89,10 +89,21 @@
     const upstream_request request{
         c.call.id,   c.call.method,    c.call.target,    c.call.host,       c.call.headers,
         c.call.body, c.call.target_id, c.caller_service, c.call.idempotent, c.deadline};
+    runs_[c.call.id] = {c.call.route, c.call.rank};
     c.exchange = client_.start(
         request, [this, ticket](upstream_result result) { on_result(ticket, std::move(result)); });
 }
 
+std::optional<local_target::parent_run> local_target::parent_of(const std::string& id) const
+{
+    const auto end = names_.id_separator == 0 ? std::string::npos : id.rfind(names_.id_separator);
+    if (end == std::string::npos) {
+        return std::nullopt;
+    }
+    const auto it = runs_.find(id.substr(0, end));
+    return it == runs_.end() ? std::nullopt : std::optional(it->second);
+}
+
 void local_target::refuse(std::uint64_t ticket)
 {
     const auto it = calls_.find(ticket);
@@ -136,6 +147,9 @@
     }
     const auto c = std::move(it->second);
     calls_.erase(it);
+    if (c.exchange) {
+        runs_.erase(c.call.id);
+    }
     queue_.finish(ticket, completed, boot_clock::now());
     const auto load = queue_.load();
     answer.stream = c.call.stream;
--- a/libs/relay/src/local_target.h
+++ b/libs/relay/src/local_target.h
@@ -12,6 +12,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 #include <unordered_map>
 
 namespace trefoil {
@@ -38,6 +40,16 @@
     /// Turns new requests away from now on.
     void start_draining() { draining_ = true; }
 
+    /// What a call that the target makes has from the request that it belongs to.
+    struct parent_run {
+        std::uint32_t route = 0;
+        std::uint32_t rank = 0;
+    };
+
+    /// The running request to which a call with this id belongs; none if there is none, so that the
+    /// call is a caller's own.
+    std::optional<parent_run> parent_of(const std::string& id) const;
+
     /// Requests that wait or run.
     std::size_t in_flight() const noexcept { return calls_.size(); }
 
@@ -69,6 +81,9 @@
     run_queue queue_;
     admit_level level_;
     std::unordered_map<std::uint64_t, running_call> calls_;
+    /// Requests at the target, by id.
+    std::unordered_map<std::string, parent_run> runs_;
+    const header_dialect& names_;
     std::uint64_t last_ticket_ = 0;
     mono_time armed_for_ = mono_time::max();
     bool draining_ = false;
--- a/libs/relay/src/pending_call.h
+++ b/libs/relay/src/pending_call.h
@@ -22,6 +22,10 @@
     std::shared_ptr<const route_table> routes;
     const route* way = nullptr;
     service_name service;
+    /// Made by the own target in the course of a request that it runs.
+    bool nested = false;
+    /// Rank of the request that began the chain of calls.
+    std::uint32_t rank = 0;
     mono_time deadline;
     send_history history;
     std::vector<std::string> tried;
--- a/libs/relay/src/relay_call.h
+++ b/libs/relay/src/relay_call.h
@@ -17,8 +17,6 @@
     /// End-to-end headers as lines, without host, id and those that nodes set.
     std::string headers;
     std::string body;
-    /// Sent by the own target in the course of a request that it runs.
-    bool nested = false;
     mono_time arrived;
     /// What the caller said it will wait.
     std::chrono::milliseconds patience{0};
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -67,8 +67,7 @@
                             forwarder.handle(s, std::move(request));
                         },
                         [this](const auto& s) { forwarder.caller_gone(s); },
-                        [this](const auto& s) { callers.erase(s); }},
-                       settings.outbound.address());
+                        [this](const auto& s) { callers.erase(s); }});
     }
 
     void accept_probe(tcp::socket socket)
@@ -80,8 +79,7 @@
                             const bool known = request.target == settings.ready_path;
                             s->answer({!known ? 404U : is_ready() ? 200U : 503U, {}, {}, {}}, true);
                         },
-                        [](const auto&) {}, [this](const auto& s) { probes.erase(s); }},
-                       settings.ready.address());
+                        [](const auto&) {}, [this](const auto& s) { probes.erase(s); }});
     }
 
     void accept_peer(tcp::socket socket)
