Let timer actions that are due at once not loop, and count time on the way

Requests wait in the process until the connection is open, a dead connection is reset, and time on the way is taken off the time that is left.

--- a/libs/dispatch/src/run_queue.cpp
+++ b/libs/dispatch/src/run_queue.cpp
@@ -76,7 +76,7 @@
 
 void run_queue::refuse_hopeless(mono_time now, run_changes& changes)
 {
-    while (!by_latest_start_.empty() && by_latest_start_.begin()->first < now) {
+    while (!by_latest_start_.empty() && by_latest_start_.begin()->first <= now) {
         const auto ticket = by_latest_start_.begin()->second;
         changes.refused.push_back(ticket);
         remove_waiting(ticket);
--- a/libs/relay/src/byte_stream.cpp
+++ b/libs/relay/src/byte_stream.cpp
@@ -173,6 +173,17 @@
     close_when_written_ = true;
 }
 
+void byte_stream::abort()
+{
+    boost::system::error_code ignored; // The connection may not be open yet.
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    if (open_) {
+        open_ = false;
+        socket_.close(ignored);
+        asio::post(socket_.get_executor(), [self = shared_from_this()] { self->handlers_ = {}; });
+    }
+}
+
 void byte_stream::pause_reading(bool paused)
 {
     paused_ = paused;
--- a/libs/relay/src/byte_stream.h
+++ b/libs/relay/src/byte_stream.h
@@ -40,6 +40,9 @@
     /// Ends the connection now. No handler is called afterwards.
     void close();
 
+    /// Ends the connection now and drops what is on its way to the peer.
+    void abort();
+
     /// Ends the connection once everything queued is written.
     void close_after_writes();
 
--- a/libs/relay/src/deadline_queue.cpp
+++ b/libs/relay/src/deadline_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <utility>
+#include <vector>
 
 namespace trefoil {
 
@@ -36,9 +37,14 @@
 {
     armed_for_ = mono_time::max();
     const auto now = boot_clock::now();
-    while (!actions_.empty() && actions_.begin()->first <= now) {
-        const auto action = std::move(actions_.begin()->second);
-        actions_.erase(actions_.begin());
+    // Taken out first: an action may add one that is due already, which runs in the next turn.
+    std::vector<std::function<void()>> due;
+    const auto end = actions_.upper_bound(now);
+    for (auto it = actions_.begin(); it != end; ++it) {
+        due.push_back(std::move(it->second));
+    }
+    actions_.erase(actions_.begin(), end);
+    for (const auto& action : due) {
         action();
     }
     arm();
--- a/libs/relay/src/node_message.h
+++ b/libs/relay/src/node_message.h
@@ -28,8 +28,10 @@
     std::string vm;
     /// Service of the target beside the caller.
     std::string service;
+    /// Sender's clock.
+    std::uint64_t sent_ms = 0;
 
-    MSGPACK_DEFINE(vm, service)
+    MSGPACK_DEFINE(vm, service, sent_ms)
 };
 
 /// A request for the target beside the receiver.
@@ -50,9 +52,11 @@
     std::string host;
     std::string headers;
     std::string body;
+    /// Sender's clock.
+    std::uint64_t sent_ms = 0;
 
     MSGPACK_DEFINE(stream, time_left_ms, route, rank, idempotent, nested, target_id, id, method,
-                   target, host, headers, body)
+                   target, host, headers, body, sent_ms)
 };
 
 /// How a request ended at the receiver.
--- a/libs/relay/src/peer_link.cpp
+++ b/libs/relay/src/peer_link.cpp
@@ -4,6 +4,7 @@
 
 #include "base/log_event.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace trefoil {
@@ -62,10 +63,28 @@
                              self->on_lost();
                              return;
                          }
-                         self->connected_ = true;
-                         self->last_received_ = boot_clock::now();
+                         self->on_connected();
                      });
+}
+
+void peer_link::on_connected()
+{
+    connected_ = true;
+    last_received_ = boot_clock::now();
+    hello_.sent_ms = mono_stamp();
     stream_->write(encode_message(node_message_kind::hello, hello_));
+    for (auto& [stream, call] : std::exchange(unsent_, {})) {
+        write(call);
+    }
+}
+
+void peer_link::write(call_message& call)
+{
+    const auto now = mono_stamp();
+    const auto waited = static_cast<std::uint32_t>(now - call.sent_ms);
+    call.time_left_ms -= std::min(call.time_left_ms, waited);
+    call.sent_ms = now;
+    stream_->write(encode_message(node_message_kind::call, call));
 }
 
 std::uint32_t peer_link::send(call_message call, peer_answer_handler done)
@@ -77,14 +96,17 @@
     const auto stream = ++last_stream_;
     call.stream = stream;
     waiting_.emplace(stream, std::move(done));
-    stream_->write(encode_message(node_message_kind::call, call));
+    call.sent_ms = mono_stamp();
+    // What waits for a connection can still be withdrawn without a trace.
+    connected_ ? write(call) : void(unsent_.emplace(stream, std::move(call)));
     schedule_check();
     return stream;
 }
 
 void peer_link::cancel(std::uint32_t stream)
 {
-    if (waiting_.erase(stream) != 0 && stream_) {
+    const bool was_unsent = unsent_.erase(stream) != 0;
+    if (waiting_.erase(stream) != 0 && !was_unsent && stream_) {
         stream_->write(encode_message(node_message_kind::cancel, cancel_message{stream}));
     }
 }
@@ -149,8 +171,10 @@
 {
     const bool was_connected = std::exchange(connected_, false);
     if (stream_) {
-        std::exchange(stream_, nullptr)->close();
+        // What is on its way must not arrive later.
+        std::exchange(stream_, nullptr)->abort();
     }
+    unsent_.clear();
     if (closed_) {
         return;
     }
--- a/libs/relay/src/peer_link.h
+++ b/libs/relay/src/peer_link.h
@@ -7,6 +7,7 @@
 #include "dispatch/call_outcome.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -52,6 +53,8 @@
 
 private:
     void open();
+    void on_connected();
+    void write(call_message& call);
     void on_data(boost::beast::flat_buffer& buffer);
     void handle(const struct raw_node_message& message);
     void on_lost();
@@ -65,6 +68,8 @@
     handlers handlers_;
     std::shared_ptr<byte_stream> stream_;
     std::unordered_map<std::uint32_t, peer_answer_handler> waiting_;
+    /// Requests that wait for the connection, in order.
+    std::map<std::uint32_t, call_message> unsent_;
     std::uint32_t last_stream_ = 0;
     mono_time last_received_;
     mono_time last_used_;
--- a/libs/relay/src/peer_session.cpp
+++ b/libs/relay/src/peer_session.cpp
@@ -4,6 +4,7 @@
 
 #include "base/log_event.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace trefoil {
@@ -40,13 +41,18 @@
 void peer_session::handle(const raw_node_message& message)
 {
     switch (message.kind) {
-    case node_message_kind::hello:
-        caller_service_ = decode_fields<hello_message>(message).service;
+    case node_message_kind::hello: {
+        const auto hello = decode_fields<hello_message>(message);
+        caller_service_ = hello.service;
+        delay_.observe(hello.sent_ms, mono_stamp());
         handlers_.greeted(shared_from_this());
         break;
+    }
     case node_message_kind::call: {
         auto call = decode_fields<call_message>(message);
         const auto stream = call.stream;
+        const auto delay = delay_.observe(call.sent_ms, mono_stamp()).count();
+        call.time_left_ms -= std::min(call.time_left_ms, static_cast<std::uint32_t>(delay));
         tickets_[stream] = 0;
         const auto ticket = handlers_.call(shared_from_this(), caller_service_, std::move(call));
         const auto it = tickets_.find(stream);
--- a/libs/relay/src/peer_session.h
+++ b/libs/relay/src/peer_session.h
@@ -4,6 +4,7 @@
 #include "node_message.h"
 
 #include "base/time.h"
+#include "dispatch/transit_delay.h"
 
 #include <functional>
 #include <memory>
@@ -54,6 +55,7 @@
     std::shared_ptr<byte_stream> stream_;
     handlers handlers_;
     std::string caller_service_;
+    transit_delay delay_;
     /// Tickets by the peer's numbers.
     std::unordered_map<std::uint32_t, std::uint64_t> tickets_;
     bool leaving_told_ = false;
--- a/libs/relay/src/upstream_exchange.cpp
+++ b/libs/relay/src/upstream_exchange.cpp
@@ -248,7 +248,7 @@
 {
     done_ = nullptr;
     if (stream_) {
-        std::exchange(stream_, nullptr)->close();
+        std::exchange(stream_, nullptr)->abort();
     }
 }
 
