Refuse new requests in the second half of a drain

It now takes requests only in the first half of the grace time, which leaves the longest route timeout for the last of them, and answers 503 with a time to return afterwards.

--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -319,8 +319,7 @@
                             std::chrono::milliseconds retry_after)
 {
     log(*call, "call_refused", reason);
-    const std::chrono::duration<double> seconds = retry_after;
-    finish(call, {503, header_line("Retry-After", std::to_string(seconds.count())), {}, {}});
+    finish(call, not_run_answer(settings_.headers, call->request.id, retry_after));
 }
 
 void call_forwarder::fail(const call_ptr& call, unsigned status, const char* reason)
@@ -360,8 +359,8 @@
     }
     calls_.erase(caller.get());
     auto with_id = answer;
-    if (answer.headers.empty() || answer.status == 503) {
-        // Answers of targets carry the id already.
+    if (answer.headers.empty()) {
+        // All others carry the id already.
         with_id.headers += header_line(settings_.headers.request_id, call->request.id);
     }
     caller->answer(with_id, !draining_);
--- a/libs/relay/src/relay_call.h
+++ b/libs/relay/src/relay_call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "relay/header_dialect.h"
 
 #include <chrono>
 #include <cstdint>
@@ -32,4 +33,8 @@
     std::string omitted_length;
 };
 
+/// Answer to a request that has not run and will not run.
+relay_answer not_run_answer(const header_dialect& names, const std::string& id,
+                            std::chrono::milliseconds retry_after);
+
 } // namespace trefoil
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -24,6 +24,13 @@
 /// second apart, that the node is not ready send it nothing new.
 constexpr std::chrono::milliseconds least_drain{2300};
 
+/// Part of the grace time in which a draining node still takes requests. What it takes later might
+/// not end before the process does.
+constexpr int accepting_part = 2;
+
+/// Time to return for callers of a node that is about to start again.
+constexpr std::chrono::milliseconds restart_return{1000};
+
 /// Time before the end of the grace time at which a drain ends in any case.
 constexpr std::chrono::milliseconds drain_margin{300};
 
@@ -64,6 +71,9 @@
             std::make_shared<caller_session>(std::move(socket), settings.headers, limits);
         callers.insert(session);
         session->start({[this](const auto& s, relay_request request) {
+                            if (is_closed_to_new(request)) {
+                                return refuse_new(s, request);
+                            }
                             forwarder.handle(s, std::move(request));
                         },
                         [this](const auto& s) { forwarder.caller_gone(s); },
@@ -132,6 +142,19 @@
         exchange.received(items, state.revision, state.live);
     }
 
+    bool is_closed_to_new(const relay_request& request) const
+    {
+        return draining && request.arrived > drain_start + settings.grace / accepting_part;
+    }
+
+    void refuse_new(const std::shared_ptr<caller_session>& session, const relay_request& request)
+    {
+        if (log.begin(request.arrived)) {
+            log.write(log_event("call_refused").add("id", request.id).add("reason", "draining"));
+        }
+        session->answer(not_run_answer(settings.headers, request.id, restart_return), false);
+    }
+
     bool is_ready() const { return !draining && forwarder.routes() != nullptr; }
 
     void sweep()
