--- a/libs/dispatch/include/dispatch/admit_level.h
+++ b/libs/dispatch/include/dispatch/admit_level.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace trefoil {
 
@@ -27,13 +28,16 @@
 /// The share of new requests that a target can take, in [floor, 1].
 ///
 /// Load pattern: demand stays above the capacity of the deepest service for seconds. Waiting there
-/// is the first sign, long before requests fail, so the level falls while requests wait longer than
-/// a part of their run time. Nodes compare it at the first hop, where refusing wastes no work.
+/// is the first sign, long before requests fail. A short burst makes some requests wait too, and
+/// refusing for it would leave slots idle; so, as in CoDel, the shortest wait of an interval
+/// counts, which is long only while there is a standing queue. Nodes compare the level at the first
+/// hop, where refusing wastes no work.
 class admit_level {
 public:
     explicit admit_level(admit_level_options options = {}) : options_(options) {}
 
-    /// Takes in how long requests wait now, and how long they usually run.
+    /// Takes in how long the oldest request in the queue has waited, and how long requests usually
+    /// run.
     void observe(std::chrono::nanoseconds wait, std::chrono::nanoseconds hold, mono_time now);
 
     double value() const noexcept { return level_; }
@@ -45,7 +49,7 @@
 private:
     admit_level_options options_;
     double level_ = 1.0;
-    bool waited_ = false;
+    std::optional<std::chrono::nanoseconds> shortest_wait_;
     mono_time interval_start_;
 };
 
--- a/libs/dispatch/include/dispatch/run_queue.h
+++ b/libs/dispatch/include/dispatch/run_queue.h
@@ -7,8 +7,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace trefoil {
@@ -50,7 +52,8 @@
 /// offered a multiple of its slots in short bursts. The target itself would serve them in order of
 /// arrival and refuse what its queue cannot hold, whatever was already spent on them. Here the most
 /// urgent rank goes first, then calls of requests that already run elsewhere, then new requests by
-/// rank; among equals the earliest deadline. What cannot finish in time is refused at once.
+/// rank; among equals the earliest deadline. What cannot finish in time is
+/// refused at once.
 class run_queue {
 public:
     explicit run_queue(std::uint32_t slots, run_queue_options options = {})
@@ -82,8 +85,8 @@
     /// Smoothed time that a request of the route holds a slot.
     std::chrono::nanoseconds hold(std::uint32_t route) const;
 
-    /// Longest wait of the requests that wait now, or that of the last one started.
-    std::chrono::nanoseconds current_wait(mono_time now) const;
+    /// How long the oldest of the waiting requests has waited; 0 if none waits.
+    std::chrono::nanoseconds longest_wait(mono_time now) const;
 
     target_load load() const;
 
@@ -114,7 +117,8 @@
     std::unordered_map<std::uint64_t, running> running_;
     std::unordered_map<std::uint32_t, std::chrono::nanoseconds> holds_;
     std::chrono::nanoseconds mean_hold_{0};
-    std::chrono::nanoseconds last_wait_{0};
+    /// Waiting requests by arrival.
+    std::set<std::pair<mono_time, std::uint64_t>> by_arrival_;
 };
 
 } // namespace trefoil
--- a/libs/dispatch/src/admit_level.cpp
+++ b/libs/dispatch/src/admit_level.cpp
@@ -21,14 +21,15 @@
         static_cast<std::int64_t>(static_cast<double>(hold.count()) * options_.wait_part));
     const auto allowed =
         std::clamp<std::chrono::nanoseconds>(part, options_.least_wait, options_.most_wait);
-    waited_ = waited_ || wait > allowed;
+    shortest_wait_ = shortest_wait_ ? std::min(*shortest_wait_, wait) : wait;
     if (now - interval_start_ < options_.interval) {
         return;
     }
     interval_start_ = now;
-    level_ = waited_ ? level_ * (1.0 - options_.decrease) : level_ + options_.increase;
+    const bool has_standing_queue = *shortest_wait_ > allowed;
+    level_ = has_standing_queue ? level_ * (1.0 - options_.decrease) : level_ + options_.increase;
     level_ = std::clamp(level_, options_.floor, 1.0);
-    waited_ = false;
+    shortest_wait_.reset();
 }
 
 double admit_level::share_of_rank(double level, std::uint32_t rank)
--- a/libs/dispatch/src/run_queue.cpp
+++ b/libs/dispatch/src/run_queue.cpp
@@ -34,6 +34,7 @@
     waiting_.emplace(where, waiting{call, now, latest});
     positions_.emplace(call.ticket, where);
     by_latest_start_.emplace(latest, call.ticket);
+    by_arrival_.emplace(now, call.ticket);
 }
 
 void run_queue::finish(std::uint64_t ticket, bool completed, mono_time now)
@@ -61,6 +62,7 @@
         by_latest_start_.erase(entry);
     }
     positions_.erase(ticket);
+    by_arrival_.erase({it->second.since, ticket});
     waiting_.erase(it);
 }
 
@@ -96,11 +98,12 @@
 run_changes run_queue::advance(mono_time now)
 {
     run_changes changes;
+
     refuse_hopeless(now, changes);
     while (running_.size() < slots_ && !waiting_.empty()) {
         const auto first = waiting_.begin();
         const auto& call = first->second.call;
-        last_wait_ = now - first->second.since;
+
         running_.emplace(call.ticket, running{call.route, now});
         changes.started.push_back(call.ticket);
         erase(first);
@@ -123,12 +126,9 @@
     return it == holds_.end() ? std::chrono::nanoseconds(options_.initial_hold) : it->second;
 }
 
-std::chrono::nanoseconds run_queue::current_wait(mono_time now) const
+std::chrono::nanoseconds run_queue::longest_wait(mono_time now) const
 {
-    if (waiting_.empty()) {
-        return running_.size() < slots_ ? std::chrono::nanoseconds(0) : last_wait_;
-    }
-    return std::max(last_wait_, now - waiting_.begin()->second.since);
+    return by_arrival_.empty() ? std::chrono::nanoseconds(0) : now - by_arrival_.begin()->first;
 }
 
 target_load run_queue::load() const
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -1,6 +1,7 @@
 #include "local_target.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace trefoil {
@@ -10,6 +11,9 @@
 /// Slots assumed until the target's entry is known.
 constexpr std::uint32_t initial_slots = 16;
 
+/// Change of the admit level that is worth a log line.
+constexpr double logged_step = 0.1;
+
 /// The level in messages is in thousandths.
 constexpr double level_scale = 1000.0;
 
@@ -63,7 +67,19 @@
 
 void local_target::observe(mono_time now)
 {
-    level_.observe(queue_.current_wait(now), queue_.load().hold, now);
+    const auto load = queue_.load();
+    level_.observe(queue_.longest_wait(now), load.hold, now);
+    if (std::abs(level_.value() - logged_level_) >= logged_step && log_.begin(now)) {
+        log_.write(log_event("admit_level")
+                       .add("level", level_.value())
+                       .add("was", logged_level_)
+                       .add("wait_ms", queue_.longest_wait(now) / std::chrono::milliseconds(1))
+                       .add("hold_ms", load.hold.count())
+                       .add("running", load.running)
+                       .add("waiting", load.waiting)
+                       .add("slots", load.limit));
+        logged_level_ = level_.value();
+    }
 }
 
 void local_target::arm_wakeup()
--- a/libs/relay/src/local_target.h
+++ b/libs/relay/src/local_target.h
@@ -86,6 +86,7 @@
     const header_dialect& names_;
     std::uint64_t last_ticket_ = 0;
     mono_time armed_for_ = mono_time::max();
+    double logged_level_ = 1.0;
     bool draining_ = false;
 };
 
