--- a/libs/relay/include/relay/published_feed.h
+++ b/libs/relay/include/relay/published_feed.h
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -17,9 +18,11 @@
 
 /// Tuning of a published_feed.
 struct published_feed_options {
-    /// Longest time that the store lets a watch wait. A connection that goes silent is found by
-    /// keep-alive probes, so this only bounds how long a store that stops answering goes unnoticed.
-    std::chrono::milliseconds watch_time{8000};
+    /// Time that the store lets a watch wait, drawn anew for each watch from this range. After an
+    /// outage a watch may stay without an answer for ever; with different times some nodes notice
+    /// soon, and the others learn from them that they are behind.
+    std::chrono::milliseconds least_watch_time{1500};
+    std::chrono::milliseconds most_watch_time{5000};
     /// Pause between watches, in which changes collect: each call to the store counts.
     std::chrono::milliseconds pause{150};
     std::chrono::milliseconds first_backoff{150};
@@ -83,7 +86,10 @@
 
     void watch()
     {
-        reader_.watch(prefix_, revision_, options_.watch_time, [this](read_result result) {
+        std::uniform_int_distribution<std::int64_t> draw(options_.least_watch_time.count(),
+                                                         options_.most_watch_time.count());
+        const std::chrono::milliseconds wait(draw(random_));
+        reader_.watch(prefix_, revision_, wait, [this](read_result result) {
             if (result.status != read_status::ok) {
                 on_failure(result);
                 return;
@@ -159,6 +165,7 @@
     std::uint64_t page_revision_ = 0;
     std::uint64_t revision_ = 0;
     std::chrono::milliseconds backoff_{0};
+    std::minstd_rand random_{std::random_device{}()};
     int failures_ = 0;
     bool available_ = false;
 };
--- a/libs/relay/include/relay/relay_node.h
+++ b/libs/relay/include/relay/relay_node.h
@@ -25,6 +25,8 @@
         received;
     /// Revision of the newest change known here.
     std::function<std::uint64_t()> known;
+    /// A peer knows changes up to the revision. True if it is to be asked for its items.
+    std::function<bool(std::uint64_t revision)> seen;
 };
 
 /// A node in front of one target: takes requests from callers on its VM to targets of their
--- a/libs/relay/include/relay/relay_service.h
+++ b/libs/relay/include/relay/relay_service.h
@@ -5,6 +5,7 @@
 #include "relay/item_reader.h"
 #include "relay/published_feed.h"
 #include "relay/relay_node.h"
+#include "relay/state_lag.h"
 
 #include "base/log_event.h"
 
@@ -71,7 +72,10 @@
                         apply(cache_.replace({}, items, newest));
                     }
                 },
-                [this] { return cache_.newest(); }};
+                [this] { return cache_.newest(); },
+                [this](std::uint64_t revision) {
+                    return lag_.observe(revision, cache_.newest(), boot_clock::now());
+                }};
     }
 
     bool is_live() const
@@ -125,6 +129,7 @@
     relay_node node_;
     Decoder decoder_;
     item_cache cache_;
+    state_lag lag_;
     std::vector<std::unique_ptr<published_feed<Reader>>> feeds_;
     asio::steady_timer timer_;
 };
--- /dev/null
+++ b/libs/relay/include/relay/state_lag.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/time.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+namespace trefoil {
+
+/// Tells when this node should ask a peer for published state, because the peer knows newer.
+///
+/// Failure pattern: the store answers again after an outage, but the watch of this node stays
+/// without an answer, or the store turns this node away and serves the others.
+class state_lag {
+public:
+    /// Time that the own watch gets to bring a change that a peer knows already, and time between
+    /// two questions. A watch brings a change within a few pauses between watches.
+    static constexpr std::chrono::milliseconds patience{400};
+
+    /// A peer knows `theirs`, this node `own`. True if the peer is to be asked now.
+    bool observe(std::uint64_t theirs, std::uint64_t own, mono_time now)
+    {
+        if (theirs <= own) {
+            behind_since_.reset();
+            return false;
+        }
+        if (!behind_since_) {
+            behind_since_ = now;
+        }
+        if (now - *behind_since_ < patience) {
+            return false;
+        }
+        behind_since_ = now;
+        return true;
+    }
+
+private:
+    std::optional<mono_time> behind_since_;
+};
+
+} // namespace trefoil
--- a/libs/relay/src/node_message.h
+++ b/libs/relay/src/node_message.h
@@ -54,9 +54,11 @@
     std::string body;
     /// Sender's clock.
     std::uint64_t sent_ms = 0;
+    /// Revision of the newest published change that the sender knows.
+    std::uint64_t known_revision = 0;
 
     MSGPACK_DEFINE(stream, time_left_ms, route, rank, idempotent, nested, target_id, id, method,
-                   target, host, headers, body, sent_ms)
+                   target, host, headers, body, sent_ms, known_revision)
 };
 
 /// How a request ended at the receiver.
@@ -74,9 +76,11 @@
     std::uint32_t hold_ms = 0;
     /// Admit level of the request's route here and below, in thousandths.
     std::uint32_t level = 1000;
+    /// Revision of the newest published change that the sender knows.
+    std::uint64_t known_revision = 0;
 
     MSGPACK_DEFINE(stream, outcome, status, headers, body, omitted_length, running, waiting, limit,
-                   hold_ms, level)
+                   hold_ms, level, known_revision)
 };
 
 /// The caller no longer wants the answer.
--- a/libs/relay/src/peer_link.cpp
+++ b/libs/relay/src/peer_link.cpp
@@ -84,6 +84,7 @@
     const auto waited = static_cast<std::uint32_t>(now - call.sent_ms);
     call.time_left_ms -= std::min(call.time_left_ms, waited);
     call.sent_ms = now;
+    call.known_revision = handlers_.known_revision();
     stream_->write(encode_message(node_message_kind::call, call));
 }
 
@@ -142,6 +143,9 @@
     switch (message.kind) {
     case node_message_kind::answer: {
         auto answer = decode_fields<answer_message>(message);
+        if (handlers_.revision_seen(answer.known_revision)) {
+            request_state(handlers_.known_revision());
+        }
         const auto it = waiting_.find(answer.stream);
         if (it != waiting_.end()) {
             const auto done = std::move(it->second);
--- a/libs/relay/src/peer_link.h
+++ b/libs/relay/src/peer_link.h
@@ -26,6 +26,10 @@
         /// The peer is shutting down and takes no new requests.
         std::function<void()> leaving;
         std::function<void(state_message)> state;
+        /// Revision of the newest published change known here.
+        std::function<std::uint64_t()> known_revision;
+        /// The peer knows changes up to the revision. True if it is to be asked for its items.
+        std::function<bool(std::uint64_t revision)> revision_seen;
         /// The published state for a peer that knows the revision; none if nothing is newer.
         std::function<std::optional<state_message>(std::uint64_t known_revision)> own_state;
     };
--- a/libs/relay/src/peer_session.cpp
+++ b/libs/relay/src/peer_session.cpp
@@ -51,6 +51,9 @@
     case node_message_kind::call: {
         auto call = decode_fields<call_message>(message);
         const auto stream = call.stream;
+        if (handlers_.revision_seen(call.known_revision)) {
+            request_state(handlers_.known_revision());
+        }
         const auto delay = delay_.observe(call.sent_ms, mono_stamp()).count();
         call.time_left_ms -= std::min(call.time_left_ms, static_cast<std::uint32_t>(delay));
         tickets_[stream] = 0;
@@ -87,9 +90,10 @@
     }
 }
 
-void peer_session::answer(const answer_message& answer)
+void peer_session::answer(answer_message answer)
 {
     if (tickets_.erase(answer.stream) != 0) {
+        answer.known_revision = handlers_.known_revision();
         stream_->write(encode_message(node_message_kind::answer, answer));
     }
 }
--- a/libs/relay/src/peer_session.h
+++ b/libs/relay/src/peer_session.h
@@ -27,6 +27,10 @@
         /// A peer connected.
         std::function<void(const std::shared_ptr<peer_session>&)> greeted;
         std::function<void(state_message)> state;
+        /// Revision of the newest published change known here.
+        std::function<std::uint64_t()> known_revision;
+        /// The peer knows changes up to the revision. True if it is to be asked for its items.
+        std::function<bool(std::uint64_t revision)> revision_seen;
         /// The published state for a peer that knows the revision; none if nothing is newer.
         std::function<std::optional<state_message>(std::uint64_t known_revision)> own_state;
         std::function<void(const std::shared_ptr<peer_session>&)> ended;
@@ -37,7 +41,7 @@
     void start(handlers h);
 
     /// Sends the answer to a request; ignored if the connection has ended.
-    void answer(const answer_message& answer);
+    void answer(answer_message answer);
 
     /// Tells the peer that this node takes no new requests.
     void tell_leaving();
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -62,6 +62,8 @@
     peer_link::handlers link_handlers()
     {
         return {[] {}, [this](const state_message& state) { receive_state(state); },
+                [this] { return exchange.known(); },
+                [this](std::uint64_t revision) { return exchange.seen(revision); },
                 [this](std::uint64_t known) { return own_state(known); }};
     }
 
@@ -112,8 +114,10 @@
                             }
                         },
                         [this](const state_message& state) { receive_state(state); },
-                        [this](std::uint64_t known) { return own_state(known); },
-                        [this](const auto& s) { peers.erase(s); }});
+             [this] { return exchange.known(); },
+             [this](std::uint64_t revision) { return exchange.seen(revision); },
+             [this](std::uint64_t known) { return own_state(known); },
+             [this](const auto& s) { peers.erase(s); }});
         if (draining) {
             session->tell_leaving();
         }
--- a/libs/relay/tests/feed_test.cpp
+++ b/libs/relay/tests/feed_test.cpp
@@ -2,6 +2,7 @@
 
 #include "relay/item_cache.h"
 #include "relay/published_feed.h"
+#include "relay/state_lag.h"
 
 #include <catch2/catch.hpp>
 
@@ -165,3 +166,25 @@
     context.run();
     CHECK(stop);
 }
+
+// Guards against a node that stays behind because its own watch never returns.
+TEST_CASE("state_lag_peer_stays_ahead_asks_once_for_each_wait")
+{
+    state_lag lag;
+    mono_time now{1h};
+    CHECK_FALSE(lag.observe(5, 5, now));
+    CHECK_FALSE(lag.observe(6, 5, now));
+    CHECK(lag.observe(6, 5, now + state_lag::patience));
+    CHECK_FALSE(lag.observe(7, 5, now + state_lag::patience));
+    CHECK(lag.observe(7, 5, now + 2 * state_lag::patience));
+}
+
+// Guards against questions for changes that the own watch brings a moment later.
+TEST_CASE("state_lag_caught_up_in_time_does_not_ask")
+{
+    state_lag lag;
+    mono_time now{1h};
+    CHECK_FALSE(lag.observe(6, 5, now));
+    CHECK_FALSE(lag.observe(6, 6, now + 1ms));
+    CHECK_FALSE(lag.observe(7, 6, now + state_lag::patience));
+}
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
-pattern=${2:-"$PWD/(libs|apps)/"}
+pattern=${2:-"$PWD/(libs|apps|platform)/"}
 git ls-files -co --exclude-standard '*.cpp' '*.h' | xargs clang-format --dry-run --Werror
 # clang 14 needs these two definitions to parse coroutines with libstdc++ 12.
 run-clang-tidy -quiet -p "$build" -j "${TREFOIL_JOBS:-$(nproc)}" \
