--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,6 +11,7 @@
 # Beside the tests, which mostly wait.
 scripts/lint.sh "$build" &
 lint_pid=$!
+trap 'kill "$lint_pid" 2>/dev/null || true' EXIT
 
 # Tests listed in KNOWN-RED.txt are printed and passed over, exactly by name.
 exclude='^$'
