Ask peers that are ahead in time, and read after a watch that failed

A watch begun in the outage waited for its whole time, and a peer that was behind as well reset the wait after which one that was ahead is asked. Ruled out: nodes without links (all had answers from nodes that were ahead).

--- a/libs/relay/include/relay/published_feed.h
+++ b/libs/relay/include/relay/published_feed.h
@@ -22,7 +22,7 @@
     /// outage a watch may stay without an answer for ever; with different times some nodes notice
     /// soon, and the others learn from them that they are behind.
     std::chrono::milliseconds least_watch_time{1500};
-    std::chrono::milliseconds most_watch_time{5000};
+    std::chrono::milliseconds most_watch_time{4000};
     /// Pause between watches, in which changes collect: each call to the store counts.
     std::chrono::milliseconds pause{150};
     std::chrono::milliseconds first_backoff{150};
@@ -116,8 +116,9 @@
         }
         ++failures_;
         if (failures_ == 1 && available_) {
-            // The store may cut a single watch; the history still has what it missed.
-            after(options_.first_backoff, [this] { watch(); });
+            // The store may cut a single watch. A reading, unlike another watch, shows at once
+            // whether it answers.
+            after(options_.first_backoff, [this] { read_page({}); });
             return;
         }
         if (available_) {
--- a/libs/relay/include/relay/state_lag.h
+++ b/libs/relay/include/relay/state_lag.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -21,10 +22,15 @@
     /// A peer knows `theirs`, this node `own`. True if the peer is to be asked now.
     bool observe(std::uint64_t theirs, std::uint64_t own, mono_time now)
     {
-        if (theirs <= own) {
+        // Peers that are behind as well say nothing about those that are ahead.
+        newest_ = std::max(newest_, theirs);
+        if (newest_ <= own) {
             behind_since_.reset();
             return false;
         }
+        if (theirs <= own) {
+            return false;
+        }
         if (!behind_since_) {
             behind_since_ = now;
         }
@@ -36,6 +42,7 @@
     }
 
 private:
+    std::uint64_t newest_ = 0;
     std::optional<mono_time> behind_since_;
 };
 
