--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -69,7 +69,7 @@
                                local_target& local, decision_log& log, metrics& counters,
                                peer_link::handlers link_handlers)
     : context_(context), deadlines_(deadlines), settings_(s), targets_(targets), local_(local),
-      log_(log), metrics_(counters), link_handlers_(std::move(link_handlers)),
+      report_(log, counters), link_handlers_(std::move(link_handlers)),
       placement_({s.zone, s.inbound.address().to_string()}), random_(std::random_device{}())
 {
 }
@@ -89,6 +89,9 @@
 
 double call_forwarder::level_of(const pending_call& call) const
 {
+    if (call.way == nullptr) {
+        return 1.0;
+    }
     const std::array path{call.service};
     return levels_.smallest(path, level_key(route_key(call.way->name)), any_group,
                             boot_clock::now());
@@ -273,7 +276,7 @@
         return;
     }
     if (ended == call_outcome::answered) {
-        count(*call, outcome::complete, refusal_reason::none);
+        report_.count(*call, outcome::complete, refusal_reason::none);
         finish(call, {answer.status, std::move(answer.headers), std::move(answer.body),
                       std::move(answer.omitted_length)});
         return;
@@ -282,7 +285,7 @@
     ++(arrived ? call->history.arrivals : call->history.detours);
     const bool in_time = boot_clock::now() + deadline_slack < call->deadline;
     if (in_time && may_send_again(*call->way, ended, call->history, budget_of(call->service))) {
-        log(*call, "call_sent_again", reason_of(ended));
+        report_.line(*call, "call_sent_again", reason_of(ended), level_of(*call));
         send(call);
         return;
     }
@@ -329,57 +332,26 @@
     const auto call = it->second;
     calls_.erase(it);
     call->finished = true;
-    log(*call, "caller_gone", refusal_reason::cancelled);
+    report_.line(*call, "caller_gone", refusal_reason::cancelled, level_of(*call));
     withdraw(*call);
 }
 
 void call_forwarder::refuse(const call_ptr& call, refusal_reason reason,
                             std::chrono::milliseconds retry_after)
 {
-    log(*call, "call_refused", reason);
-    count(*call, outcome::not_run, reason);
-    finish(call, not_run_answer(settings_.headers, call->request.id, retry_after));
+    report_.line(*call, "call_refused", reason, level_of(*call));
+    report_.count(*call, outcome::not_run, reason);
+    finish(call, not_run_answer(retry_after));
 }
 
 void call_forwarder::fail(const call_ptr& call, unsigned status, refusal_reason reason)
 {
-    log(*call, "call_failed", reason);
-    count(*call, outcome::unknown, reason);
+    report_.line(*call, "call_failed", reason, level_of(*call));
+    report_.count(*call, outcome::unknown, reason);
     finish(call, {status, {}, {}, {}});
 }
 
-void call_forwarder::count(const pending_call& call, outcome told, refusal_reason reason)
-{
-    const rank_name rank(call.way == nullptr ? "none" : std::to_string(call.rank));
-    const kind_name kind(call.way == nullptr ? "none" : call.way->name);
-    const group_name group(call.nested ? "calls" : "callers");
-    metrics_.record_call({rank, group, kind, told, reason},
-                         boot_clock::now() - call.request.arrived);
-}
-
-void call_forwarder::log(const pending_call& call, const char* event, refusal_reason reason)
-{
-    const auto now = boot_clock::now();
-    if (!log_.begin(now)) {
-        return;
-    }
-    log_event line(event);
-    line.add("id", call.request.id).add("reason", to_string(reason));
-    line.add("after_ms", (now - call.request.arrived) / std::chrono::milliseconds(1));
-    if (call.way != nullptr) {
-        line.add("route", call.way->name)
-            .add("config", call.routes->config().version)
-            .add("service", call.service)
-            .add("level", level_of(call))
-            .add("nested", call.nested);
-    }
-    if (!call.tried.empty()) {
-        line.add("target", call.tried.back()).add("sends", call.tried.size());
-    }
-    log_.write(std::move(line));
-}
-
-void call_forwarder::finish(const call_ptr& call, const relay_answer& answer)
+void call_forwarder::finish(const call_ptr& call, relay_answer answer)
 {
     call->finished = true;
     const auto caller = call->caller.lock();
@@ -387,12 +359,8 @@
         return;
     }
     calls_.erase(caller.get());
-    auto with_id = answer;
-    if (answer.headers.empty()) {
-        // All others carry the id already.
-        with_id.headers += header_line(settings_.headers.request_id, call->request.id);
-    }
-    caller->answer(with_id, !draining_);
+    answer.headers += header_line(settings_.headers.request_id, call->request.id);
+    caller->answer(answer, !draining_);
 }
 
 bool call_forwarder::request_state(std::uint64_t known_revision)
--- a/libs/relay/src/call_forwarder.h
+++ b/libs/relay/src/call_forwarder.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decision_log.h"
+#include "call_report.h"
 #include "local_target.h"
 #include "pending_call.h"
 
@@ -9,11 +9,9 @@
 #include "dispatch/placement.h"
 #include "dispatch/target_directory.h"
 #include "dispatch/weighted_rotation.h"
-#include "metrics/metrics.h"
 #include "relay/relay_settings.h"
 #include "routing/flow_table.h"
 #include "routing/retry_budget.h"
-#include "wire/outcome.h"
 #include "wire/refusal_reason.h"
 
 #include <map>
@@ -70,9 +68,7 @@
     void withdraw(pending_call& call);
     void refuse(const call_ptr& call, refusal_reason reason, std::chrono::milliseconds retry_after);
     void fail(const call_ptr& call, unsigned status, refusal_reason reason);
-    void finish(const call_ptr& call, const relay_answer& answer);
-    void count(const pending_call& call, outcome told, refusal_reason reason);
-    void log(const pending_call& call, const char* event, refusal_reason reason);
+    void finish(const call_ptr& call, relay_answer answer);
     double level_of(const pending_call& call) const;
     std::shared_ptr<peer_link> link_to(const std::string& address);
     retry_budget& budget_of(const service_name& service);
@@ -82,8 +78,7 @@
     const relay_settings& settings_;
     target_directory& targets_;
     local_target& local_;
-    decision_log& log_;
-    metrics& metrics_;
+    call_report report_;
     peer_link::handlers link_handlers_;
     placement placement_;
     first_hop_gate gate_;
--- /dev/null
+++ b/libs/relay/src/call_report.cpp
@@ -0,0 +1,40 @@
+#include "call_report.h"
+
+#include <chrono>
+#include <string>
+
+namespace trefoil {
+
+void call_report::line(const pending_call& call, const char* event, refusal_reason reason,
+                       double level)
+{
+    const auto now = boot_clock::now();
+    if (!log_.begin(now)) {
+        return;
+    }
+    log_event line(event);
+    line.add("id", call.request.id).add("reason", to_string(reason));
+    line.add("after_ms", (now - call.request.arrived) / std::chrono::milliseconds(1));
+    if (call.way != nullptr) {
+        line.add("route", call.way->name)
+            .add("config", call.routes->config().version)
+            .add("service", call.service)
+            .add("level", level)
+            .add("nested", call.nested);
+    }
+    if (!call.tried.empty()) {
+        line.add("target", call.tried.back()).add("sends", call.tried.size());
+    }
+    log_.write(std::move(line));
+}
+
+void call_report::count(const pending_call& call, outcome told, refusal_reason reason)
+{
+    const rank_name rank(call.way == nullptr ? "none" : std::to_string(call.rank));
+    const kind_name kind(call.way == nullptr ? "none" : call.way->name);
+    const group_name group(call.nested ? "calls" : "callers");
+    metrics_.record_call({rank, group, kind, told, reason},
+                         boot_clock::now() - call.request.arrived);
+}
+
+} // namespace trefoil
--- a/libs/relay/src/relay_call.cpp
+++ b/libs/relay/src/relay_call.cpp
@@ -4,14 +4,12 @@
 
 namespace trefoil {
 
-relay_answer not_run_answer(const header_dialect& names, const std::string& id,
-                            std::chrono::milliseconds retry_after)
+relay_answer not_run_answer(std::chrono::milliseconds retry_after)
 {
     const std::chrono::duration<double> seconds = retry_after;
     relay_answer answer;
     answer.status = 503;
-    answer.headers = header_line("Retry-After", std::to_string(seconds.count())) +
-                     header_line(names.request_id, id);
+    answer.headers = header_line("Retry-After", std::to_string(seconds.count()));
     return answer;
 }
 
--- a/libs/relay/src/relay_call.h
+++ b/libs/relay/src/relay_call.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "base/time.h"
-#include "relay/header_dialect.h"
 
 #include <chrono>
 #include <cstdint>
@@ -34,7 +33,6 @@
 };
 
 /// Answer to a request that has not run and will not run.
-relay_answer not_run_answer(const header_dialect& names, const std::string& id,
-                            std::chrono::milliseconds retry_after);
+relay_answer not_run_answer(std::chrono::milliseconds retry_after);
 
 } // namespace trefoil
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -182,7 +182,9 @@
         if (log.begin(request.arrived)) {
             log.write(log_event("call_refused").add("id", request.id).add("reason", "draining"));
         }
-        session->answer(not_run_answer(settings.headers, request.id, restart_return), false);
+        auto answer = not_run_answer(restart_return);
+        answer.headers += header_line(settings.headers.request_id, request.id);
+        session->answer(answer, false);
     }
 
     bool is_ready() const { return !draining && forwarder.routes() != nullptr; }
--- a/libs/relay/src/upstream_exchange.cpp
+++ b/libs/relay/src/upstream_exchange.cpp
@@ -193,7 +193,8 @@
         return result;
     }
     result.outcome = call_outcome::answered;
-    result.answer.headers = end_to_end_headers(message, names.target_load);
+    // The id is added again where the answer leaves; ids of nested calls are long.
+    result.answer.headers = end_to_end_headers(message, names.target_load, names.request_id);
     if (is_head_) {
         result.answer.omitted_length = std::string(message[http::field::content_length]);
     }
