--- a/libs/relay/src/upstream_client.h
+++ b/libs/relay/src/upstream_client.h
@@ -32,8 +32,6 @@
 struct upstream_result {
     call_outcome outcome = call_outcome::lost;
     relay_answer answer;
-    /// The connection was refused or reset: the target may have died.
-    bool is_reset = false;
 };
 
 /// Sends requests to the own target over kept connections, one request at a time on each. A request
@@ -52,9 +50,6 @@
     /// Ends an exchange by closing its connection; `done` does not run.
     static void cancel(const std::shared_ptr<class upstream_exchange>& exchange);
 
-    /// Closes all idle connections, for example because the target started again.
-    void close_idle() { idle_.clear(); }
-
 private:
     friend class upstream_exchange;
 
--- a/libs/relay/src/upstream_exchange.cpp
+++ b/libs/relay/src/upstream_exchange.cpp
@@ -118,7 +118,6 @@
                          if (error) {
                              upstream_result result;
                              result.outcome = call_outcome::unreachable;
-                             result.is_reset = true;
                              self->finish(std::move(result));
                              return;
                          }
@@ -136,7 +135,7 @@
         }
         if (error) {
             log_event("answer_invalid").add("id", id_).add("detail", error.message()).warning();
-            finish_lost(false);
+            finish_lost();
             return;
         }
         if (!parser_->is_done()) {
@@ -217,21 +216,19 @@
             }
         }
     }
-    finish_lost(true);
+    finish_lost();
 }
 
 void upstream_exchange::on_deadline()
 {
     if (done_) {
-        finish_lost(false);
+        finish_lost();
     }
 }
 
-void upstream_exchange::finish_lost(bool is_reset)
+void upstream_exchange::finish_lost()
 {
-    upstream_result result;
-    result.is_reset = is_reset;
-    finish(std::move(result));
+    finish({}); // The default outcome is lost.
 }
 
 void upstream_exchange::finish(upstream_result result)
--- a/libs/relay/src/upstream_exchange.h
+++ b/libs/relay/src/upstream_exchange.h
@@ -34,7 +34,7 @@
     bool is_own(const boost::beast::http::response<boost::beast::http::string_body>& message) const;
     void on_message(boost::beast::flat_buffer& buffer);
     void finish(upstream_result result);
-    void finish_lost(bool is_reset);
+    void finish_lost();
     upstream_result
     result_of(boost::beast::http::response<boost::beast::http::string_body> message);
 
--- a/libs/relay/tests/relay_fixture.h
+++ b/libs/relay/tests/relay_fixture.h
@@ -76,8 +76,7 @@
              },
              [] { return true; },
              [&received](const auto& items, std::uint64_t, bool) { received = items; },
-             [known = std::make_shared<std::uint64_t>(0)] { return *known; },
-             [](std::uint64_t) { return false; }});
+             [] { return std::uint64_t{0}; }, [](std::uint64_t) { return false; }});
         v->node->start();
         vms.push_back(std::move(v));
         return *vms.back();
