--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -218,13 +218,13 @@
         if (slowest == callers.end()) {
             return;
         }
-        auto session = *slowest; // Kept while it is closed and erased.
+        const auto closed = callers.extract(slowest);
+        const auto& session = closed.value();
         log_event("caller_closed")
             .add("reason", "unread answers")
             .add("bytes", session->held_bytes())
             .warning();
         session->close();
-        callers.erase(session);
     }
 
     void check_drained()
