--- /dev/null
+++ b/libs/dispatch/tests/first_hop_gate_test.cpp
@@ -0,0 +1,113 @@
+#include "dispatch/admit_level.h"
+#include "dispatch/call_graph.h"
+#include "dispatch/first_hop_gate.h"
+#include "dispatch/resend_rule.h"
+#include "dispatch/transit_delay.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace std::chrono_literals;
+using namespace trefoil;
+
+namespace {
+
+struct gate_fixture {
+    first_hop_gate gate;
+
+    int admitted(double level, std::uint32_t rank) const
+    {
+        int count = 0;
+        for (std::uint64_t i = 0; i < 1000; ++i) {
+            count += gate.decide(level, rank, i).admitted ? 1 : 0;
+        }
+        return count;
+    }
+};
+
+struct resend_fixture {
+    route r;
+    retry_budget budget{{10, 1}};
+
+    resend_fixture()
+    {
+        r.idempotent = true;
+        r.max_attempts = 2;
+    }
+};
+
+} // namespace
+
+// Guards against urgent requests that are refused as often as others.
+TEST_CASE_METHOD(gate_fixture, "first_hop_gate_lower_level_refuses_less_urgent_more_often")
+{
+    CHECK(admitted(1.0, 0) == 1000);
+    CHECK(admitted(1.0, 3) == 1000);
+    for (const auto level : {0.8, 0.4, 0.1}) {
+        CHECK(admitted(level, 0) > admitted(level, 1));
+        CHECK(admitted(level, 1) >= admitted(level, 2));
+        CHECK(admitted(level, 3) > 0);
+    }
+}
+
+// Guards against callers of one burst that come back as one.
+TEST_CASE_METHOD(gate_fixture, "first_hop_gate_refused_callers_return_spread")
+{
+    std::set<std::chrono::milliseconds> returns;
+    for (std::uint64_t i = 0; i < 1000; ++i) {
+        returns.insert(gate.return_time(0.5, i));
+    }
+    CHECK(*returns.begin() > 0ms);
+    CHECK(returns.size() > 300);
+    CHECK(gate.return_time(0.1, 1) > gate.return_time(0.9, 1));
+}
+
+// Guards against work that runs twice: a lost answer does not tell whether the request ran.
+TEST_CASE_METHOD(resend_fixture, "resend_rule_lost_request_only_if_repeatable")
+{
+    CHECK(may_send_again(r, call_outcome::lost, {1, 0}, budget));
+    r.idempotent = false;
+    retry_budget fresh({10, 1});
+    CHECK_FALSE(may_send_again(r, call_outcome::lost, {1, 0}, fresh));
+    CHECK(may_send_again(r, call_outcome::declined, {1, 0}, fresh));
+    CHECK_FALSE(may_send_again(r, call_outcome::answered, {1, 0}, fresh));
+}
+
+// Guards against repeats that keep an overloaded service overloaded.
+TEST_CASE_METHOD(resend_fixture, "resend_rule_repeats_stay_within_budget_and_attempts")
+{
+    CHECK_FALSE(may_send_again(r, call_outcome::lost, {2, 0}, budget));
+    int repeats = 0;
+    for (int i = 0; i < 1000; ++i) {
+        budget.first_attempt();
+        repeats += may_send_again(r, call_outcome::lost, {1, 0}, budget) ? 1 : 0;
+    }
+    CHECK(repeats <= 101);
+    CHECK(may_send_again(r, call_outcome::unreachable, {0, 1}, budget));
+    CHECK_FALSE(may_send_again(r, call_outcome::turned_away, {0, max_detours + 1}, budget));
+}
+
+// Guards against levels that hold back routes which never reach the short service.
+TEST_CASE("call_graph_calls_of_one_route_are_not_those_of_another")
+{
+    call_graph graph;
+    const mono_time now{1h};
+    const called_route child{7, service_name("stock")};
+    graph.record(1, child, now);
+    CHECK(graph.children(1, now) == std::vector{child});
+    CHECK(graph.children(2, now).empty());
+    CHECK(graph.children(1, now + 1h).empty());
+}
+
+// Guards against requests that a link held up and that run after their callers have left.
+TEST_CASE("transit_delay_held_up_message_shows_its_delay_whatever_the_clocks")
+{
+    transit_delay delay;
+    CHECK(delay.observe(1000, 50) == 0ms);
+    CHECK(delay.observe(2000, 1055) == 5ms);
+    CHECK(delay.observe(2100, 4150) == 3000ms);
+    CHECK(delay.observe(5000, 4045) == 0ms);
+    CHECK(delay.observe(5100, 4150) == 5ms);
+}
--- /dev/null
+++ b/libs/dispatch/tests/run_queue_test.cpp
@@ -0,0 +1,130 @@
+#include "dispatch/run_queue.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <set>
+
+using namespace std::chrono_literals;
+using namespace trefoil;
+
+namespace {
+
+struct queue_fixture {
+    mono_time now{1h};
+    run_queue queue{1};
+    std::uint64_t last_ticket = 0;
+
+    std::uint64_t offer(std::uint32_t rank, bool nested, std::chrono::milliseconds left)
+    {
+        queue.offer({++last_ticket, 1, rank, nested, now + left}, now);
+        return last_ticket;
+    }
+
+    std::vector<std::uint64_t> started() { return queue.advance(now).started; }
+
+    /// Ends a request and returns the one that takes its slot.
+    std::uint64_t next_after(std::uint64_t ticket)
+    {
+        queue.finish(ticket, true, now);
+        const auto next = started();
+        return next.empty() ? 0 : next.front();
+    }
+};
+
+} // namespace
+
+// Guards against new requests that take the slots that begun requests need to finish.
+TEST_CASE_METHOD(queue_fixture, "run_queue_several_waiting_starts_by_urgency_then_deadline")
+{
+    const auto running = offer(1, false, 1s);
+    REQUIRE(started() == std::vector{running});
+    const auto late_rank = offer(2, false, 500ms);
+    const auto rank = offer(1, false, 900ms);
+    const auto nested_later = offer(2, true, 800ms);
+    const auto nested = offer(1, true, 700ms);
+    const auto urgent = offer(0, false, 1s);
+    CHECK(next_after(running) == urgent);
+    CHECK(next_after(urgent) == nested);
+    CHECK(next_after(nested) == nested_later);
+    CHECK(next_after(nested_later) == rank);
+    CHECK(next_after(rank) == late_rank);
+}
+
+// Guards against requests that run although their caller can no longer get the answer.
+TEST_CASE_METHOD(queue_fixture, "run_queue_too_little_time_left_refuses_at_once")
+{
+    const auto running = offer(1, false, 1s);
+    started();
+    const auto waiting = offer(1, false, 100ms);
+    CHECK(queue.advance(now).refused.empty());
+    REQUIRE(queue.next_wakeup().has_value());
+    now = *queue.next_wakeup();
+    // At this very time, not only after it: a timer set for it would otherwise fire for ever.
+    CHECK(queue.advance(now).refused == std::vector{waiting});
+    CHECK_FALSE(queue.next_wakeup().has_value());
+    CHECK(next_after(running) == 0);
+}
+
+// Guards against a queue that grows with demand.
+TEST_CASE_METHOD(queue_fixture, "run_queue_flood_refuses_least_urgent_first")
+{
+    offer(1, false, 10s);
+    started();
+    const auto urgent = offer(0, false, 10s);
+    std::set<std::uint64_t> refused;
+    for (int i = 0; i < 10; ++i) {
+        offer(2, false, 10s);
+        for (const auto ticket : queue.advance(now).refused) {
+            refused.insert(ticket);
+        }
+    }
+    CHECK(refused.size() == 7);
+    CHECK_FALSE(refused.contains(urgent));
+}
+
+// Guards against slots that are lost when requests end, are cancelled or are refused.
+TEST_CASE("run_queue_random_calls_each_ticket_ends_once_and_slots_are_kept")
+{
+    const bool holds = rc::check([] {
+        mono_time now{1h};
+        const auto slots = *rc::gen::inRange(1U, 5U);
+        run_queue queue(slots);
+        std::set<std::uint64_t> waiting;
+        std::set<std::uint64_t> running;
+        const auto take_over = [&](const run_changes& changes) {
+            for (const auto ticket : changes.started) {
+                RC_ASSERT(waiting.erase(ticket) == 1);
+                running.insert(ticket);
+            }
+            for (const auto ticket : changes.refused) {
+                RC_ASSERT(waiting.erase(ticket) == 1);
+            }
+            RC_ASSERT(running.size() <= slots);
+            RC_ASSERT(running.size() == slots || waiting.empty());
+        };
+        const auto steps = *rc::gen::container<std::vector<int>>(100, rc::gen::inRange(0, 4));
+        std::uint64_t ticket = 0;
+        for (const auto step : steps) {
+            now += std::chrono::milliseconds(*rc::gen::inRange(0, 20));
+            if (step <= 1) {
+                ++ticket;
+                waiting.insert(ticket);
+                const auto left = std::chrono::milliseconds(*rc::gen::inRange(1, 300));
+                queue.offer({ticket, 1, *rc::gen::inRange(0U, 3U), step == 0, now + left}, now);
+            }
+            else if (step == 2 && !running.empty()) {
+                queue.finish(*running.begin(), true, now);
+                running.erase(running.begin());
+            }
+            else if (step == 3 && !waiting.empty()) {
+                RC_ASSERT(queue.remove_waiting(*waiting.begin()));
+                waiting.erase(waiting.begin());
+            }
+            take_over(queue.advance(now));
+        }
+        RC_ASSERT(queue.load().running == running.size());
+        RC_ASSERT(queue.load().waiting == waiting.size());
+    });
+    CHECK(holds);
+}
--- /dev/null
+++ b/libs/relay/tests/relay_fixture.h
@@ -0,0 +1,179 @@
+#pragma once
+
+#include "stand_in_target.h"
+
+#include "relay/relay_node.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/beast/http/message.hpp>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace trefoil {
+
+/// Relay nodes on addresses of the loopback network, each with a stand-in target. Everything runs
+/// on one context in the test's thread.
+struct relay_fixture {
+    using answer = boost::beast::http::response<boost::beast::http::string_body>;
+
+    struct vm {
+        relay_settings settings;
+        std::unique_ptr<stand_in_target> target;
+        std::unique_ptr<relay_node> node;
+        std::vector<published_item> received;
+    };
+
+    asio::io_context context{1};
+    const unsigned short port = free_port();
+    std::vector<std::unique_ptr<vm>> vms;
+
+    ~relay_fixture() { context.stop(); }
+
+    static unsigned short free_port()
+    {
+        asio::io_context context;
+        // Four ports in a row are used on each address.
+        for (unsigned short candidate = 21000; candidate < 32000; candidate += 4) {
+            boost::system::error_code error;
+            tcp::acceptor probe(context);
+            probe.open(tcp::v4(), error);
+            probe.bind({asio::ip::address_v4::any(), candidate}, error);
+            if (!error) {
+                return candidate;
+            }
+        }
+        return 0;
+    }
+
+    /// Adds a VM whose target is `id` of the service; `respond` decides its answers.
+    vm& add_vm(const std::string& id, const std::string& service,
+               std::function<stand_in_target::reply(const stand_in_target::request&)> respond)
+    {
+        auto v = std::make_unique<vm>();
+        const auto address = asio::ip::make_address_v4("127.0.0." + std::to_string(2 + vms.size()));
+        const auto at = [&](int offset) {
+            return tcp::endpoint(address, static_cast<unsigned short>(port + offset));
+        };
+        v->settings.vm = vm_name("vm-" + id);
+        v->settings.zone = availability_zone_name("a");
+        v->settings.service = service_name(service);
+        v->settings.outbound = at(0);
+        v->settings.inbound = at(1);
+        v->settings.ready = at(2);
+        v->settings.upstream = at(3);
+        v->target = std::make_unique<stand_in_target>(context, at(3), std::move(respond));
+        v->node = std::make_unique<relay_node>(context, v->settings);
+        auto& received = v->received;
+        v->node->set_state_exchange(
+            {[](std::uint64_t, std::uint64_t& newest) {
+                 newest = 5;
+                 return std::vector<published_item>{{"key", "value", 5, false}};
+             },
+             [] { return true; },
+             [&received](const auto& items, std::uint64_t, bool) { received = items; },
+             [] { return std::uint64_t{0}; }});
+        v->node->start();
+        vms.push_back(std::move(v));
+        return *vms.back();
+    }
+
+    static target_entry entry_of(const vm& v, const std::string& id)
+    {
+        target_entry e;
+        e.id = {id, 1};
+        e.service = v.settings.service;
+        e.zone = v.settings.zone;
+        e.address = v.settings.upstream.address().to_string();
+        e.port = v.settings.upstream.port();
+        e.slots = 4;
+        return e;
+    }
+
+    static traffic_config config_for(const std::string& service, bool idempotent)
+    {
+        route r;
+        r.name = "route";
+        r.host = "shop.example";
+        r.prefix = "/work/";
+        r.shares = {{service_name(service), 1.0}};
+        r.idempotent = idempotent;
+        // Long enough for a busy machine; tests of deadlines set their own.
+        r.timeout = std::chrono::minutes(1);
+        r.max_attempts = 3;
+        return {config_version{1}, {r}, {}};
+    }
+
+    /// Puts a configuration and the targets in force on all VMs.
+    void publish(const traffic_config& config,
+                 const std::vector<std::pair<vm*, std::string>>& targets)
+    {
+        for (const auto& v : vms) {
+            v->node->set_config(config);
+            for (const auto& [owner, id] : targets) {
+                v->node->put_target(entry_of(*owner, id));
+            }
+        }
+    }
+
+    static std::string request_text(const std::string& id, const std::string& more = {},
+                                    const std::string& line = "GET /work/1?x=2 HTTP/1.1")
+    {
+        return line + "\r\nHost: shop.example\r\ntrefoil-request-id: " + id + "\r\n" + more +
+               "\r\n";
+    }
+
+    tcp::socket connect(const tcp::endpoint& peer)
+    {
+        tcp::socket socket(context);
+        socket.connect(peer);
+        return socket;
+    }
+
+    /// Sends bytes and reads one answer.
+    answer ask(const tcp::endpoint& peer, const std::string& bytes)
+    {
+        auto socket = connect(peer);
+        return ask(socket, bytes);
+    }
+
+    answer ask(tcp::socket& socket, const std::string& bytes)
+    {
+        asio::write(socket, asio::buffer(bytes));
+        return read_answer(socket);
+    }
+
+    answer read_answer(tcp::socket& socket)
+    {
+        std::optional<answer> got;
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                boost::beast::http::response_parser<boost::beast::http::string_body> parser;
+                boost::system::error_code error;
+                co_await boost::beast::http::async_read(
+                    socket, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+                got = parser.release();
+            },
+            asio::detached);
+        run_until([&] { return got.has_value(); });
+        return *got;
+    }
+
+    template<class Condition>
+    void run_until(Condition condition)
+    {
+        while (!condition()) {
+            context.run_one();
+        }
+    }
+
+private:
+    boost::beast::flat_buffer buffer_;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/relay/tests/relay_node_test.cpp
@@ -0,0 +1,247 @@
+#include "relay_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;
+using namespace trefoil;
+
+namespace {
+
+using reply = stand_in_target::reply;
+using end = stand_in_target::reply::end;
+
+/// A VM where callers are, and one with a target of their service.
+struct two_vms_fixture : relay_fixture {
+    std::function<reply(const stand_in_target::request&)> respond = [](const auto& r) {
+        return reply{stand_in_target::answer(r, "done"), end::keep};
+    };
+    vm& front = add_vm("front", "front", [](const auto&) { return reply{}; });
+    vm& back = add_vm("back", "orders", [this](const auto& r) { return respond(r); });
+
+    void serve(bool idempotent) { publish(config_for("orders", idempotent), {{&back, "back"}}); }
+
+    answer ask(const std::string& bytes)
+    {
+        return relay_fixture::ask(front.settings.outbound, bytes);
+    }
+};
+
+struct drained_fixture : two_vms_fixture {
+    bool ended = false;
+
+    unsigned ready_status()
+    {
+        return relay_fixture::ask(front.settings.ready, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            .result_int();
+    }
+};
+
+} // namespace
+
+// Guards against requests that change on their way, and against facts that a caller forges.
+TEST_CASE_METHOD(two_vms_fixture, "relay_request_for_other_vm_arrives_unchanged")
+{
+    serve(false);
+    const auto got = ask(
+        request_text("id-1",
+                     "trefoil-caller-service: forged\r\ntrefoil-target: forged\r\nX-Other: kept\r\n"
+                     "Connection: X-Hop\r\nX-Hop: dropped\r\nTransfer-Encoding: chunked\r\n",
+                     "POST /work/1?x=2 HTTP/1.1") +
+        "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    CHECK(got.result_int() == 200);
+    CHECK(got.body() == "done");
+    CHECK(got["trefoil-proof"] == "p1");
+    CHECK(got["trefoil-request-id"] == "id-1");
+    REQUIRE(back.target->requests().size() == 1);
+    const auto& sent = back.target->requests().front();
+    CHECK(sent.method_string() == "POST");
+    CHECK(sent.target() == "/work/1?x=2");
+    CHECK(sent.body() == "abcde");
+    CHECK(sent["Host"] == "shop.example");
+    CHECK(sent["X-Other"] == "kept");
+    CHECK(sent.find("X-Hop") == sent.end());
+    CHECK(sent["trefoil-caller-service"] == "front");
+    CHECK(sent["trefoil-target"] == "back");
+    CHECK(sent.find("trefoil-deadline-ms") != sent.end());
+}
+
+// Guards against a success that is not the target's.
+TEST_CASE_METHOD(two_vms_fixture, "relay_answer_without_proof_is_no_success")
+{
+    serve(false);
+    respond = [](const auto& r) {
+        return reply{"HTTP/1.1 200 OK\r\ntrefoil-request-id: " +
+                         std::string(r["trefoil-request-id"]) + "\r\nContent-Length: 2\r\n\r\nok",
+                     end::keep};
+    };
+    CHECK(ask(request_text("id-1")).result_int() == 502);
+    CHECK(back.target->requests().size() == 1);
+}
+
+// Guards against the answer of an earlier request where the next one is due.
+TEST_CASE_METHOD(two_vms_fixture, "relay_surplus_answer_is_skipped")
+{
+    serve(true);
+    respond = [](const auto& r) {
+        auto other = r;
+        other.set("trefoil-request-id", "other");
+        return reply{stand_in_target::answer(other, "wrong") + stand_in_target::answer(r, "right"),
+                     end::keep};
+    };
+    CHECK(ask(request_text("id-1")).body() == "right");
+    CHECK(ask(request_text("id-2")).body() == "right");
+}
+
+// Guards against an answer that is cut off and looks whole.
+TEST_CASE_METHOD(two_vms_fixture, "relay_answer_until_close_is_whole_only_if_closed_in_order")
+{
+    serve(false);
+    auto then = end::close;
+    respond = [&](const auto& r) {
+        return reply{"HTTP/1.1 200 OK\r\ntrefoil-proof: p1\r\ntrefoil-request-id: " +
+                         std::string(r["trefoil-request-id"]) + "\r\n\r\npart",
+                     then};
+    };
+    CHECK(ask(request_text("id-1")).body() == "part");
+    then = end::reset;
+    CHECK(ask(request_text("id-2")).result_int() == 502);
+}
+
+// Guards against work that runs twice after its answer was lost.
+TEST_CASE_METHOD(two_vms_fixture, "relay_lost_answer_of_unrepeatable_request_is_told_as_unknown")
+{
+    serve(false);
+    respond = [](const auto&) { return reply{"", end::reset}; };
+    const auto got = ask(request_text("id-1"));
+    CHECK(got.result_int() == 502);
+    CHECK(got.find("Retry-After") == got.end());
+    CHECK(back.target->requests().size() == 1);
+}
+
+// Guards against a refusal that does not say when to come back.
+TEST_CASE_METHOD(two_vms_fixture, "relay_declined_request_is_refused_with_time_to_return")
+{
+    serve(false);
+    respond = [](const auto& r) {
+        return reply{"HTTP/1.1 503 Full\r\ntrefoil-not-run: 1\r\ntrefoil-request-id: " +
+                         std::string(r["trefoil-request-id"]) + "\r\nContent-Length: 0\r\n\r\n",
+                     end::keep};
+    };
+    const auto got = ask(request_text("id-1"));
+    CHECK(got.result_int() == 503);
+    CHECK(got.find("Retry-After") != got.end());
+}
+
+// Guards against work that goes on after its caller has left.
+TEST_CASE_METHOD(two_vms_fixture, "relay_caller_leaves_repeatable_work_is_cancelled")
+{
+    serve(true);
+    respond = [](const auto&) { return reply{"", end::silent}; };
+    auto caller = connect(front.settings.outbound);
+    asio::write(caller, asio::buffer(request_text("id-1")));
+    run_until([&] { return back.target->requests().size() == 1; });
+    caller.close();
+    run_until([&] { return back.target->closed() == 1; });
+    CHECK(back.target->requests().size() == 1);
+}
+
+// Guards against an answer that never comes: the caller is told when the route's time is over.
+TEST_CASE_METHOD(two_vms_fixture, "relay_silent_target_ends_at_timeout_of_route")
+{
+    auto config = config_for("orders", false);
+    config.routes.front().timeout = 100ms;
+    publish(config, {{&back, "back"}});
+    respond = [](const auto&) { return reply{"", end::silent}; };
+    CHECK(ask(request_text("id-1")).result_int() == 504);
+}
+
+// Guards against later requests of a connection that are lost or answered out of order.
+TEST_CASE_METHOD(two_vms_fixture, "relay_pipelined_requests_are_answered_in_order")
+{
+    serve(true);
+    respond = [](const auto& r) {
+        return reply{stand_in_target::answer(r, std::string(r["trefoil-request-id"])), end::keep};
+    };
+    auto caller = connect(front.settings.outbound);
+    CHECK(relay_fixture::ask(caller, request_text("id-1") + request_text("id-2")).body() == "id-1");
+    CHECK(read_answer(caller).body() == "id-2");
+}
+
+// Guards against requests that smuggle another one past the parser.
+TEST_CASE_METHOD(two_vms_fixture, "relay_contradictory_length_is_refused")
+{
+    serve(true);
+    const auto got = ask(request_text("id-1", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+                                      "POST /work/1 HTTP/1.1") +
+                         "0\r\n\r\n");
+    CHECK(got.result_int() == 400);
+    CHECK(back.target->requests().empty());
+}
+
+// Guards against callers that hear of a missing route before any configuration is known.
+TEST_CASE_METHOD(two_vms_fixture, "relay_unknown_configuration_and_unknown_route_are_told_apart")
+{
+    CHECK(ask(request_text("id-1")).result_int() == 503);
+    serve(true);
+    CHECK(ask(request_text("id-2", {}, "GET /none/ HTTP/1.1")).result_int() == 404);
+    CHECK(ask(request_text("id-3")).result_int() == 200);
+}
+
+// Guards against an older configuration that comes back.
+TEST_CASE_METHOD(two_vms_fixture, "relay_older_configuration_changes_nothing")
+{
+    auto newer = config_for("orders", true);
+    newer.version = config_version{2};
+    newer.routes.front().prefix = "/new/";
+    publish(newer, {{&back, "back"}});
+    serve(true);
+    CHECK(ask(request_text("id-1", {}, "GET /new/ HTTP/1.1")).result_int() == 200);
+    CHECK(ask(request_text("id-2")).result_int() == 404);
+}
+
+// Guards against a repeat that goes to the target that failed, or is not made at all.
+TEST_CASE_METHOD(two_vms_fixture, "relay_repeatable_request_is_sent_to_another_target")
+{
+    int calls = 0;
+    respond = [&](const auto& r) {
+        ++calls;
+        return calls == 1 ? reply{"", end::reset}
+                          : reply{stand_in_target::answer(r, "first"), end::keep};
+    };
+    vm& other = add_vm("other", "orders", [&](const auto& r) {
+        ++calls;
+        return calls == 1 ? reply{"", end::reset}
+                          : reply{stand_in_target::answer(r, "second"), end::keep};
+    });
+    publish(config_for("orders", true), {{&back, "back"}, {&other, "other"}});
+    CHECK(ask(request_text("id-1")).result_int() == 200);
+    CHECK(back.target->requests().size() == 1);
+    CHECK(other.target->requests().size() == 1);
+}
+
+// Guards against a node that stays without state while the store turns it away.
+TEST_CASE_METHOD(two_vms_fixture, "relay_peer_state_is_received_over_open_connection")
+{
+    serve(true);
+    CHECK(ask(request_text("id-1")).result_int() == 200);
+    REQUIRE(front.node->request_peer_state(0));
+    run_until([&] { return !front.received.empty(); });
+    CHECK(front.received.front().key == "key");
+    CHECK(front.received.front().value == "value");
+}
+
+// Guards against requests cut by a planned stop, and callers that are not told of it.
+TEST_CASE_METHOD(drained_fixture, "relay_drain_finishes_requests_and_is_not_ready")
+{
+    CHECK(ready_status() == 503);
+    serve(true);
+    CHECK(ready_status() == 200);
+    auto caller = connect(front.settings.outbound);
+    CHECK(relay_fixture::ask(caller, request_text("id-1")).keep_alive());
+    front.node->drain([this] { ended = true; });
+    CHECK(ready_status() == 503);
+    const auto got = relay_fixture::ask(caller, request_text("id-2"));
+    CHECK(got.result_int() == 200);
+    CHECK_FALSE(got.keep_alive());
+    run_until([this] { return ended; });
+}
