Order calls by the deadline of their request, and raise unconfirmed levels in proportion

With one target of the deepest service left, its queue was full (92 of 92) while its level was at the floor: 16 first hops hear of the level about once a second each and raised it by 0.8 a second in between, so that they admitted a multiple of the capacity in pulses. In a full queue each call waits anew by its own time-out, so that the fourth call of an old request goes behind the first call of a new one and none finishes.

Change: a call carries the deadline of its request at the first hop, by which run_queue orders; a level that no answer confirms grows in proportion to itself. route_levels takes over the bookkeeping from call_forwarder.

--- a/libs/dispatch/include/dispatch/run_queue.h
+++ b/libs/dispatch/include/dispatch/run_queue.h
@@ -37,6 +37,8 @@
     /// Made by a target in the course of a request, so that work was already spent on it.
     bool nested = false;
     mono_time deadline;
+    /// Deadline of the request at the first hop that it belongs to; its own unless it is nested.
+    mono_time request_deadline;
 };
 
 /// Which tickets changed state.
@@ -51,9 +53,10 @@
 /// Load pattern: calls multiply on the way down a call graph, so that the deepest service is
 /// offered a multiple of its slots in short bursts. The target itself would serve them in order of
 /// arrival and refuse what its queue cannot hold, whatever was already spent on them. Here the most
-/// urgent rank goes first, and all others by the earliest deadline: calls of requests that already
-/// run elsewhere have less time left than new requests, but a new one that has waited is not
-/// overtaken for ever. Ranks beyond the first count at the first hop, before any work. What cannot
+/// urgent rank goes first, and all others by the earliest deadline of the request at the first hop:
+/// a request keeps its place for all its calls one after another, while their own deadlines, which
+/// each call's time-out sets anew, would send it to the end for every call, so that under overload
+/// none finishes. Ranks beyond the first count at the first hop, before any work. What cannot
 /// finish in time is refused at once.
 class run_queue {
 public:
@@ -92,7 +95,7 @@
     target_load load() const;
 
 private:
-    /// Order of service: class, deadline, ticket.
+    /// Order of service: class, deadline of the request, ticket.
     using position = std::tuple<std::uint32_t, mono_time, std::uint64_t>;
     struct waiting {
         waiting_call call;
--- a/libs/dispatch/src/run_queue.cpp
+++ b/libs/dispatch/src/run_queue.cpp
@@ -23,7 +23,7 @@
 run_queue::position run_queue::position_of(const waiting_call& call)
 {
     const auto urgency = call.rank == 0 && !call.nested ? 0U : 1U;
-    return {urgency, call.deadline, call.ticket};
+    return {urgency, call.request_deadline, call.ticket};
 }
 
 void run_queue::offer(const waiting_call& call, mono_time now)
--- a/libs/dispatch/tests/deep_service_load.h
+++ b/libs/dispatch/tests/deep_service_load.h
@@ -2,8 +2,10 @@
 
 #include "dispatch/admit_level.h"
 #include "dispatch/first_hop_gate.h"
+#include "dispatch/route_levels.h"
 #include "dispatch/run_queue.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -13,10 +15,24 @@
 
 namespace trefoil {
 
-/// Replays requests at a first hop, each of which makes calls one after another to one target of a
-/// deep service, on a virtual clock. The level of the target reaches the first hop with answers.
+/// Replays requests at first hops, each of which makes calls to one target of a deep service, on a
+/// virtual clock. The level of the target reaches a first hop with the answers of its own requests.
 class deep_service_load {
 public:
+    struct options {
+        /// Nodes where requests arrive, each with its own view of the level.
+        std::uint32_t first_hops = 1;
+        /// Calls that a request makes at the same time.
+        std::uint32_t chains = 1;
+        /// Calls that each of them is followed by, itself included.
+        std::uint32_t calls_per_chain = 8;
+        std::uint32_t slots = 20;
+        std::chrono::milliseconds mean_run{40};
+        /// Time of a request, and of one of its calls.
+        std::chrono::milliseconds deadline{1000};
+        std::chrono::milliseconds call_timeout{1000};
+    };
+
     struct phase {
         std::chrono::milliseconds length{0};
         /// Requests a second, as a multiple of what the deep target can carry.
@@ -36,19 +52,20 @@
         std::uint64_t unfinished = 0;
     };
 
-    static constexpr std::uint32_t slots = 20;
-    static constexpr std::uint32_t calls_per_request = 8;
-    static constexpr std::chrono::milliseconds mean_run{40};
-    static constexpr std::chrono::milliseconds deadline{1000};
     /// Time for an answer to pass from the deep target to the first hop.
     static constexpr std::chrono::milliseconds feedback{100};
 
-    explicit deep_service_load(std::uint64_t seed) : random_(seed) {}
+    explicit deep_service_load(std::uint64_t seed) : deep_service_load(seed, options{}) {}
+    deep_service_load(std::uint64_t seed, const options& o)
+        : options_(o), random_(seed), queue_(o.slots), levels_(o.first_hops)
+    {
+    }
 
-    /// Requests that the deep target can carry in a second.
-    static double capacity()
+    /// Requests that the deep target can carry in a second at its usual speed.
+    double capacity() const
     {
-        return slots / (std::chrono::duration<double>(mean_run).count() * calls_per_request);
+        return options_.slots / (std::chrono::duration<double>(options_.mean_run).count() *
+                                 options_.chains * options_.calls_per_chain);
     }
 
     /// Replays one phase after those before it, and counts the requests that began in it.
@@ -57,32 +74,44 @@
 private:
     struct request {
         mono_time deadline;
-        std::uint32_t calls_left = calls_per_request;
+        std::uint32_t calls_left = 0;
+        std::size_t first_hop = 0;
         result* counted = nullptr;
     };
+    struct running_call {
+        std::uint64_t request = 0;
+        /// Calls of its chain that follow it.
+        std::uint32_t following = 0;
+        mono_time deadline;
+    };
     struct event {
         enum class kind : std::uint8_t { arrival, call_ends, feedback, wakeup } what;
         std::uint64_t ticket = 0;
         double level = 1.0;
+        std::size_t first_hop = 0;
     };
 
+    static called_route deep_route() { return {1, service_name("deep")}; }
     void handle(const event& e, const phase& p, result& counted);
     void arrive(const phase& p, result& counted);
-    void call(std::uint64_t id);
+    void call(std::uint64_t id, std::uint32_t following);
+    void end_call(std::uint64_t ticket);
+    void end_request(std::uint64_t id, bool served);
     void advance();
     void at(mono_time when, event e) { events_.emplace(when, e); }
 
+    options options_;
     std::mt19937_64 random_;
     mono_time now_{std::chrono::hours(1)};
     mono_time phase_end_;
     double slowness_ = 1.0;
     std::multimap<mono_time, event> events_;
-    run_queue queue_{slots};
+    run_queue queue_;
     admit_level level_;
     first_hop_gate gate_;
-    double known_level_ = 1.0;
+    std::vector<route_levels> levels_;
     std::unordered_map<std::uint64_t, request> requests_;
-    std::unordered_map<std::uint64_t, std::uint64_t> request_of_ticket_;
+    std::unordered_map<std::uint64_t, running_call> calls_;
     std::uint64_t last_id_ = 0;
 };
 
@@ -115,32 +144,11 @@
     case event::kind::arrival:
         arrive(p, counted);
         break;
-    case event::kind::call_ends: {
-        queue_.finish(e.ticket, true, now_);
-        const auto id = request_of_ticket_.at(e.ticket);
-        request_of_ticket_.erase(e.ticket);
-        advance();
-        auto& r = requests_.at(id);
-        at(now_ + feedback, {event::kind::feedback, 0, level_.value()});
-        if (now_ > r.deadline) {
-            if (r.counted != nullptr) {
-                ++r.counted->failed;
-            }
-            requests_.erase(id);
-        }
-        else if (--r.calls_left > 0) {
-            call(id);
-        }
-        else {
-            if (r.counted != nullptr) {
-                ++r.counted->served;
-            }
-            requests_.erase(id);
-        }
+    case event::kind::call_ends:
+        end_call(e.ticket);
         break;
-    }
     case event::kind::feedback:
-        known_level_ += 0.25 * (e.level - known_level_);
+        levels_[e.first_hop].record(deep_route(), e.level, now_);
         break;
     case event::kind::wakeup:
         advance();
@@ -148,6 +156,37 @@
     }
 }
 
+inline void deep_service_load::end_call(std::uint64_t ticket)
+{
+    queue_.finish(ticket, true, now_);
+    const auto call_ended = calls_.at(ticket);
+    calls_.erase(ticket);
+    advance();
+    const auto it = requests_.find(call_ended.request);
+    if (it == requests_.end()) {
+        return; // Another of its calls failed.
+    }
+    if (now_ > call_ended.deadline) {
+        end_request(call_ended.request, false);
+    }
+    else if (--it->second.calls_left == 0) {
+        end_request(call_ended.request, true);
+    }
+    else if (call_ended.following > 0) {
+        call(call_ended.request, call_ended.following - 1);
+    }
+}
+
+inline void deep_service_load::end_request(std::uint64_t id, bool served)
+{
+    const auto& r = requests_.at(id);
+    if (r.counted != nullptr) {
+        ++(served ? r.counted->served : r.counted->failed);
+    }
+    at(now_ + feedback, {event::kind::feedback, 0, level_.value(), r.first_hop});
+    requests_.erase(id);
+}
+
 inline void deep_service_load::arrive(const phase& p, result& counted)
 {
     std::exponential_distribution<double> gap(capacity() * p.load);
@@ -155,20 +194,30 @@
                   std::chrono::duration<double>(gap(random_))),
        {event::kind::arrival});
     ++counted.offered;
-    if (!gate_.decide(known_level_, 1, random_()).admitted) {
+    const auto first_hop = random_() % levels_.size();
+    const auto level = levels_[first_hop].level_of(deep_route(), now_);
+    if (!gate_.decide(level, 1, random_()).admitted) {
         ++counted.refused;
         return;
     }
     const auto id = ++last_id_;
-    requests_[id] = {now_ + deadline, calls_per_request, &counted};
-    call(id);
+    requests_[id] = {now_ + options_.deadline, options_.chains * options_.calls_per_chain,
+                     first_hop, &counted};
+    for (std::uint32_t chain = 0; chain < options_.chains; ++chain) {
+        call(id, options_.calls_per_chain - 1);
+    }
 }
 
-inline void deep_service_load::call(std::uint64_t id)
+inline void deep_service_load::call(std::uint64_t id, std::uint32_t following)
 {
+    const auto r = requests_.find(id);
+    if (r == requests_.end()) {
+        return; // Another of its calls was refused.
+    }
     const auto ticket = ++last_id_;
-    request_of_ticket_[ticket] = id;
-    queue_.offer({ticket, 1, 1, true, requests_.at(id).deadline}, now_);
+    const auto deadline = std::min(r->second.deadline, now_ + options_.call_timeout);
+    calls_[ticket] = {id, following, deadline};
+    queue_.offer({ticket, 1, 1, true, deadline, r->second.deadline}, now_);
     advance();
 }
 
@@ -177,16 +226,16 @@
     const auto changes = queue_.advance(now_);
     level_.observe(queue_.load(), now_);
     for (const auto ticket : changes.refused) {
-        const auto id = request_of_ticket_.at(ticket);
-        request_of_ticket_.erase(ticket);
-        if (auto* counted = requests_.at(id).counted; counted != nullptr) {
-            ++counted->failed;
+        const auto id = calls_.at(ticket).request;
+        calls_.erase(ticket);
+        if (requests_.contains(id)) {
+            end_request(id, false);
         }
-        requests_.erase(id);
     }
     std::gamma_distribution<double> run(4.0, 0.25);
     for (const auto ticket : changes.started) {
-        const auto time = std::chrono::duration<double>(mean_run) * run(random_) * slowness_;
+        const auto time =
+            std::chrono::duration<double>(options_.mean_run) * run(random_) * slowness_;
         at(now_ + std::chrono::duration_cast<std::chrono::nanoseconds>(time),
            {event::kind::call_ends, ticket});
     }
--- a/libs/dispatch/tests/deep_service_load_test.cpp
+++ b/libs/dispatch/tests/deep_service_load_test.cpp
@@ -12,16 +12,17 @@
 constexpr auto promised_recovery = 2s;
 
 struct deep_service_fixture {
-    deep_service_load load{20261204};
+    static constexpr std::uint64_t seed = 20261204;
+    deep_service_load load{seed};
 
     static double served_part(const deep_service_load::result& r)
     {
         return static_cast<double>(r.served) / static_cast<double>(r.offered - r.unfinished);
     }
 
-    static double goodput(const deep_service_load::result& r, std::chrono::duration<double> length)
+    double goodput(const deep_service_load::result& r, std::chrono::duration<double> length) const
     {
-        return static_cast<double>(r.served) / (deep_service_load::capacity() * length.count());
+        return static_cast<double>(r.served) / (load.capacity() * length.count());
     }
 };
 
--- a/libs/dispatch/tests/run_queue_test.cpp
+++ b/libs/dispatch/tests/run_queue_test.cpp
@@ -17,7 +17,13 @@
 
     std::uint64_t offer(std::uint32_t rank, bool nested, std::chrono::milliseconds left)
     {
-        queue.offer({++last_ticket, 1, rank, nested, now + left}, now);
+        return offer_call(rank, nested, left, left);
+    }
+
+    std::uint64_t offer_call(std::uint32_t rank, bool nested, std::chrono::milliseconds left,
+                             std::chrono::milliseconds request_left)
+    {
+        queue.offer({++last_ticket, 1, rank, nested, now + left, now + request_left}, now);
         return last_ticket;
     }
 
@@ -54,6 +60,18 @@
     CHECK(next_after(late) == nested_of_later_request);
 }
 
+// Guards against requests that lose their place with every call, because a call's own time-out
+// starts anew, so that under overload none of them finishes.
+TEST_CASE_METHOD(queue_fixture, "run_queue_next_call_of_older_request_goes_before_newer_request")
+{
+    const auto running = offer(1, false, 1s);
+    REQUIRE(started() == std::vector{running});
+    const auto first_call_of_newer = offer_call(1, true, 700ms, 1200ms);
+    const auto fourth_call_of_older = offer_call(1, true, 700ms, 800ms);
+    CHECK(next_after(running) == fourth_call_of_older);
+    CHECK(next_after(fourth_call_of_older) == first_call_of_newer);
+}
+
 // Guards against requests that run although their caller can no longer get the answer.
 TEST_CASE_METHOD(queue_fixture, "run_queue_too_little_time_left_refuses_at_once")
 {
@@ -114,7 +132,8 @@
                 ++ticket;
                 waiting.insert(ticket);
                 const auto left = std::chrono::milliseconds(*rc::gen::inRange(1, 300));
-                queue.offer({ticket, 1, *rc::gen::inRange(0U, 3U), step == 0, now + left}, now);
+                queue.offer(
+                    {ticket, 1, *rc::gen::inRange(0U, 3U), step == 0, now + left, now + left}, now);
             }
             else if (step == 2 && !running.empty()) {
                 queue.finish(*running.begin(), true, now);
--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -31,14 +31,6 @@
 
 constexpr double level_scale = 1000.0;
 
-/// Levels are kept for each route; groups do not apply to them.
-const group_name any_group{"*"};
-
-kind_name level_key(std::uint32_t route)
-{
-    return kind_name(std::to_string(route));
-}
-
 refusal_reason reason_of(call_outcome o)
 {
     switch (o) {
@@ -66,11 +58,12 @@
 
 call_forwarder::call_forwarder(asio::io_context& context, deadline_queue& deadlines,
                                const relay_settings& s, target_directory& targets,
-                               local_target& local, decision_log& log, metrics& counters,
-                               peer_link::handlers link_handlers)
+                               local_target& local, route_levels& levels, decision_log& log,
+                               metrics& counters, peer_link::handlers link_handlers)
     : context_(context), deadlines_(deadlines), settings_(s), targets_(targets), local_(local),
       report_(log, counters), link_handlers_(std::move(link_handlers)),
-      placement_({s.zone, s.inbound.address().to_string()}), random_(std::random_device{}())
+      placement_({s.zone, s.inbound.address().to_string()}), levels_(levels),
+      random_(std::random_device{}())
 {
 }
 
@@ -92,20 +85,7 @@
     if (call.way == nullptr) {
         return 1.0;
     }
-    const std::array path{call.service};
-    return levels_.smallest(path, level_key(route_key(call.way->name)), any_group,
-                            boot_clock::now());
-}
-
-double call_forwarder::level_below(std::uint32_t route) const
-{
-    const auto now = boot_clock::now();
-    double level = 1.0;
-    for (const auto& child : graph_.children(route, now)) {
-        const std::array path{child.service};
-        level = std::min(level, levels_.smallest(path, level_key(child.route), any_group, now));
-    }
-    return level;
+    return levels_.level_of({route_key(call.way->name), call.service}, boot_clock::now());
 }
 
 void call_forwarder::handle(const std::shared_ptr<caller_session>& caller, relay_request request)
@@ -151,11 +131,13 @@
 void call_forwarder::note_lineage(pending_call& call)
 {
     call.rank = call.way->rank;
+    call.request_deadline = call.deadline;
     if (const auto parent = local_.parent_of(call.request.id)) {
         call.nested = true;
         call.rank = parent->rank;
-        graph_.record(parent->route, {route_key(call.way->name), call.service},
-                      call.request.arrived);
+        call.request_deadline = std::max(call.deadline, parent->request_deadline);
+        levels_.record_call(parent->route, {route_key(call.way->name), call.service},
+                            call.request.arrived);
     }
 }
 
@@ -189,6 +171,9 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - boot_clock::now());
     call_message message;
     message.time_left_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(1, left.count()));
+    const auto extra = std::chrono::duration_cast<std::chrono::milliseconds>(call.request_deadline -
+                                                                             call.deadline);
+    message.request_extra_ms = static_cast<std::uint32_t>(extra.count());
     message.route = route_key(call.way->name);
     message.rank = call.rank;
     message.idempotent = call.way->idempotent;
@@ -257,8 +242,7 @@
         const target_load load{answer.running, answer.waiting, answer.limit,
                                std::chrono::milliseconds(answer.hold_ms)};
         placement_.note_load(*target, load, now);
-        levels_.record(call.service, level_key(route_key(call.way->name)), any_group,
-                       answer.level / level_scale, now);
+        levels_.record({route_key(call.way->name), call.service}, answer.level / level_scale, now);
     }
     if (outcome == call_outcome::unreachable) {
         placement_.note_unreachable(*target, now);
--- a/libs/relay/src/call_forwarder.h
+++ b/libs/relay/src/call_forwarder.h
@@ -4,13 +4,12 @@
 #include "local_target.h"
 #include "pending_call.h"
 
-#include "dispatch/call_graph.h"
 #include "dispatch/first_hop_gate.h"
 #include "dispatch/placement.h"
+#include "dispatch/route_levels.h"
 #include "dispatch/target_directory.h"
 #include "dispatch/weighted_rotation.h"
 #include "relay/relay_settings.h"
-#include "routing/flow_table.h"
 #include "routing/retry_budget.h"
 #include "wire/refusal_reason.h"
 
@@ -27,8 +26,8 @@
 class call_forwarder {
 public:
     call_forwarder(asio::io_context& context, deadline_queue& deadlines, const relay_settings& s,
-                   target_directory& targets, local_target& local, decision_log& log,
-                   metrics& counters, peer_link::handlers link_handlers);
+                   target_directory& targets, local_target& local, route_levels& levels,
+                   decision_log& log, metrics& counters, peer_link::handlers link_handlers);
 
     void set_routes(std::shared_ptr<const route_table> routes);
     const std::shared_ptr<const route_table>& routes() const noexcept { return routes_; }
@@ -38,10 +37,6 @@
     /// The caller closed its connection: its request is cancelled wherever it is.
     void caller_gone(const std::shared_ptr<caller_session>& caller);
 
-    /// Smallest admit level of the services that requests of this route reach by calls of the own
-    /// target.
-    double level_below(std::uint32_t route) const;
-
     /// Answers tell callers to close their connections from now on.
     void start_draining() { draining_ = true; }
 
@@ -83,8 +78,7 @@
     placement placement_;
     first_hop_gate gate_;
     weighted_rotation rotation_;
-    flow_table levels_;
-    call_graph graph_;
+    route_levels& levels_;
     std::shared_ptr<const route_table> routes_;
     std::map<std::string, std::shared_ptr<peer_link>> links_;
     std::map<service_name, retry_budget> budgets_;
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -20,10 +20,10 @@
 } // namespace
 
 local_target::local_target(asio::io_context& context, deadline_queue& deadlines,
-                           tcp::endpoint upstream, const header_dialect& names, decision_log& log,
-                           level_source below)
+                           tcp::endpoint upstream, const header_dialect& names,
+                           const route_levels& levels, decision_log& log)
     : deadlines_(deadlines), client_(context, deadlines, std::move(upstream), names), log_(log),
-      below_(std::move(below)), queue_(initial_slots), names_(names)
+      levels_(levels), queue_(initial_slots), names_(names)
 {
 }
 
@@ -39,9 +39,11 @@
     const auto now = boot_clock::now();
     const auto ticket = ++last_ticket_;
     const auto deadline = now + std::chrono::milliseconds(call.time_left_ms);
-    const waiting_call waiting{ticket, call.route, call.rank, call.nested, deadline};
+    const auto request_deadline = deadline + std::chrono::milliseconds(call.request_extra_ms);
+    const waiting_call waiting{ticket,      call.route, call.rank,
+                               call.nested, deadline,   request_deadline};
     calls_.emplace(ticket, running_call{std::move(call), caller_service, std::move(done), nullptr,
-                                        deadline, now});
+                                        deadline, request_deadline, now});
     if (draining_) {
         refuse(ticket);
         return ticket;
@@ -105,7 +107,7 @@
     const upstream_request request{
         c.call.id,   c.call.method,    c.call.target,    c.call.host,       c.call.headers,
         c.call.body, c.call.target_id, c.caller_service, c.call.idempotent, c.deadline};
-    runs_[c.call.id] = {c.call.route, c.call.rank};
+    runs_[c.call.id] = {c.call.route, c.call.rank, c.request_deadline};
     c.exchange = client_.start(
         request, [this, ticket](upstream_result result) { on_result(ticket, std::move(result)); });
 }
@@ -166,20 +168,25 @@
     if (c.exchange) {
         runs_.erase(c.call.id);
     }
-    queue_.finish(ticket, completed, boot_clock::now());
+    const auto now = boot_clock::now();
+    queue_.finish(ticket, completed, now);
     const auto load = queue_.load();
     answer.stream = c.call.stream;
     answer.running = load.running;
     answer.waiting = load.waiting;
     answer.limit = load.limit;
     answer.hold_ms = static_cast<std::uint32_t>(load.hold.count());
-    answer.level =
-        static_cast<std::uint32_t>(std::min(level_.value(), below_(c.call.route)) * level_scale);
+    answer.level = static_cast<std::uint32_t>(level_of(c.call.route, now) * level_scale);
     if (c.done) {
         c.done(std::move(answer));
     }
 }
 
+double local_target::level_of(std::uint32_t route, mono_time now) const
+{
+    return std::min(level_.value(), levels_.level_below(route, now));
+}
+
 void local_target::cancel(std::uint64_t ticket)
 {
     const auto it = calls_.find(ticket);
--- a/libs/relay/src/local_target.h
+++ b/libs/relay/src/local_target.h
@@ -6,6 +6,7 @@
 #include "upstream_client.h"
 
 #include "dispatch/admit_level.h"
+#include "dispatch/route_levels.h"
 #include "dispatch/run_queue.h"
 #include "dispatch/target_entry.h"
 
@@ -22,11 +23,9 @@
 class local_target {
 public:
     using answer_handler = std::function<void(answer_message)>;
-    /// Smallest admit level of the services that requests of the route reach through this target.
-    using level_source = std::function<double(std::uint32_t route)>;
 
     local_target(asio::io_context& context, deadline_queue& deadlines, tcp::endpoint upstream,
-                 const header_dialect& names, decision_log& log, level_source below);
+                 const header_dialect& names, const route_levels& levels, decision_log& log);
 
     /// Takes over what the target publishes about itself.
     void set_entry(const target_entry& entry);
@@ -44,6 +43,8 @@
     struct parent_run {
         std::uint32_t route = 0;
         std::uint32_t rank = 0;
+        /// Deadline of the request at its first hop.
+        mono_time request_deadline;
     };
 
     /// The running request to which a call with this id belongs; none if there is none, so that the
@@ -56,6 +57,9 @@
     target_load load() const { return queue_.load(); }
     double level() const noexcept { return level_.value(); }
 
+    /// Admit level for requests of the route, services that they reach by calls included.
+    double level_of(std::uint32_t route, mono_time now) const;
+
 private:
     struct running_call {
         call_message call;
@@ -63,6 +67,7 @@
         answer_handler done;
         std::shared_ptr<upstream_exchange> exchange;
         mono_time deadline;
+        mono_time request_deadline;
         mono_time offered;
     };
 
@@ -77,7 +82,7 @@
     deadline_queue& deadlines_;
     upstream_client client_;
     decision_log& log_;
-    level_source below_;
+    const route_levels& levels_;
     run_queue queue_;
     admit_level level_;
     std::unordered_map<std::uint64_t, running_call> calls_;
--- a/libs/relay/src/node_message.h
+++ b/libs/relay/src/node_message.h
@@ -56,9 +56,11 @@
     std::uint64_t sent_ms = 0;
     /// Revision of the newest published change that the sender knows.
     std::uint64_t known_revision = 0;
+    /// Milliseconds that the request at the first hop has beyond `time_left_ms`; 0 if this is it.
+    std::uint32_t request_extra_ms = 0;
 
     MSGPACK_DEFINE(stream, time_left_ms, route, rank, idempotent, nested, target_id, id, method,
-                   target, host, headers, body, sent_ms, known_revision)
+                   target, host, headers, body, sent_ms, known_revision, request_extra_ms)
 };
 
 /// How a request ended at the receiver.
--- a/libs/relay/src/pending_call.h
+++ b/libs/relay/src/pending_call.h
@@ -27,6 +27,8 @@
     /// Rank of the request that began the chain of calls.
     std::uint32_t rank = 0;
     mono_time deadline;
+    /// Deadline of the request that began the chain of calls, at its first hop.
+    mono_time request_deadline;
     send_history history;
     std::vector<std::string> tried;
     /// Where the request is now; null while it is nowhere.
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -53,9 +53,8 @@
 public:
     impl(asio::io_context& c, relay_settings s)
         : context(c), settings(std::move(s)), deadlines(c),
-          local(c, deadlines, settings.upstream, settings.headers, log,
-                [this](std::uint32_t route) { return forwarder.level_below(route); }),
-          forwarder(c, deadlines, settings, targets, local, log, counters, link_handlers()),
+          local(c, deadlines, settings.upstream, settings.headers, levels, log),
+          forwarder(c, deadlines, settings, targets, local, levels, log, counters, link_handlers()),
           outbound(c, settings.outbound,
                    [this](tcp::socket socket) { accept_caller(std::move(socket)); }),
           inbound(c, settings.inbound,
@@ -254,6 +253,7 @@
     decision_log log;
     metrics counters;
     target_directory targets;
+    route_levels levels;
     local_target local;
     call_forwarder forwarder;
     peer_state_exchange exchange;
--- a/libs/routing/include/routing/flow_table.h
+++ b/libs/routing/include/routing/flow_table.h
@@ -20,6 +20,9 @@
     std::chrono::nanoseconds raise_after = std::chrono::milliseconds(200);
     /// Rise of an unconfirmed fraction in one second; the rate at the target.
     double raise_per_second = 0.8;
+    /// Growth of an unconfirmed fraction in one second, as an exponent: a share that is far from 1
+    /// belongs to a service far from recovered, and many callers raise theirs at the same time.
+    double growth_per_second = 0.0;
     /// Weight of a new value, because the targets of one service report different fractions.
     double smoothing = 0.25;
     /// Bound on the entries (service, kind, group); further ones are not recorded.
--- a/libs/routing/src/flow_table.cpp
+++ b/libs/routing/src/flow_table.cpp
@@ -31,9 +31,10 @@
 
 double flow_table::fraction_at(const service_fraction& entry, mono_time now) const noexcept
 {
-    const std::chrono::duration<double> unconfirmed = now - entry.confirmed - options_.raise_after;
-    const double rise = std::max(0.0, unconfirmed.count()) * options_.raise_per_second;
-    return std::min(1.0, entry.fraction + rise);
+    const std::chrono::duration<double> since = now - entry.confirmed - options_.raise_after;
+    const double unconfirmed = std::max(0.0, since.count());
+    const double grown = entry.fraction * std::exp(options_.growth_per_second * unconfirmed);
+    return std::min(1.0, grown + unconfirmed * options_.raise_per_second);
 }
 
 void flow_table::record(const service_name& service, const kind_name& kind, const group_name& group,
--- a/libs/routing/tests/flow_table_test.cpp
+++ b/libs/routing/tests/flow_table_test.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <array>
+#include <cmath>
 #include <limits>
 
 using namespace trefoil;
@@ -57,6 +58,18 @@
     REQUIRE(table.smallest(path, order, house, later) == 0.2);
 }
 
+// Guards against many callers that each raise a small share by the same step, so that all of them
+// together send a multiple of what the target can take before the next answer shows it.
+TEST_CASE_METHOD(flow_table_fixture, "flow_table_unconfirmed_fraction_grows_in_proportion")
+{
+    flow_table growing{{.raise_per_second = 0.0, .growth_per_second = 1.0}};
+    growing.record(path[0], order, house, 0.05, now);
+    const auto grown = growing.smallest(path, order, house, now + std::chrono::milliseconds(1200));
+    REQUIRE(grown == Approx(0.05 * std::exp(1.0)));
+    const auto later = now + std::chrono::milliseconds(4000);
+    REQUIRE(growing.smallest(path, order, house, later) == 1.0);
+}
+
 // Guards against a flow that cannot recover, and against a table that outside input makes grow.
 TEST_CASE_METHOD(flow_table_fixture, "flow_table_any_records_stay_bounded_and_in_range")
 {
