Test that a draining node refuses late requests with a time to return

Seen to fail with the refusal taken out: the request is taken after the accepting part of the grace time and cut.

--- a/libs/relay/tests/relay_node_test.cpp
+++ b/libs/relay/tests/relay_node_test.cpp
@@ -245,3 +245,33 @@
     CHECK_FALSE(got.keep_alive());
     run_until([this] { return ended; });
 }
+
+// Guards against requests that a draining node takes so late that the end of its process cuts them.
+TEST_CASE_METHOD(drained_fixture, "relay_drain_late_request_is_refused_with_time_to_return")
+{
+    serve(true);
+    int served = 0;
+    respond = [&served](const auto& r) {
+        if (r["trefoil-request-id"] == "id-held") {
+            return reply{"", end::silent};
+        }
+        ++served;
+        return reply{stand_in_target::answer(r, "done"), end::keep};
+    };
+    // A request in progress keeps the drain from ending early.
+    auto held = connect(front.settings.outbound);
+    asio::write(held, asio::buffer(request_text("id-held")));
+    run_until([this] { return back.target->requests().size() == 1; });
+    front.node->drain([this] { ended = true; });
+    int taken = 0;
+    auto got = ask(request_text("id-0"));
+    while (got.result_int() == 200 && !ended) {
+        ++taken;
+        context.run_for(50ms);
+        got = ask(request_text("id-" + std::to_string(taken)));
+    }
+    CHECK(got.result_int() == 503);
+    CHECK(got.find("Retry-After") != got.end());
+    CHECK(served == taken);
+    run_until([this] { return ended; });
+}
