Let other nodes use the target of a draining node at first

Ruled out: less than 2.3 s of drain (callers must be told twice that the node is not ready).

The test relay_drain_other_nodes_use_the_target_at_first was seen to fail before.

--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -27,6 +27,10 @@
 /// second apart, that the node is not ready send it nothing new.
 constexpr std::chrono::milliseconds least_drain{2300};
 
+/// Time from the start of a drain in which other nodes still use the target, which goes on running.
+/// What is left of `least_drain` is longer than most requests run.
+constexpr std::chrono::milliseconds target_use_time{1500};
+
 /// Part of the grace time in which a draining node still takes requests. What it takes later might
 /// not end before the process does.
 constexpr int accepting_part = 2;
@@ -143,7 +147,7 @@
                         [this](std::uint64_t revision) { return exchange.seen(revision); },
                         [this](std::uint64_t known) { return own_state(known); },
                         [this](const auto& s) { peers.erase(s); }});
-        if (draining) {
+        if (target_closed) {
             session->tell_leaving();
         }
     }
@@ -226,6 +230,16 @@
         session->close();
     }
 
+    /// Other nodes send nothing new to the target from now on.
+    void close_target()
+    {
+        target_closed = true;
+        local.start_draining();
+        for (const auto& peer : peers) {
+            peer->tell_leaving();
+        }
+    }
+
     void check_drained()
     {
         const auto now = boot_clock::now();
@@ -268,6 +282,7 @@
     mono_time drain_start;
     mono_time quiet_since;
     bool draining = false;
+    bool target_closed = false;
 };
 
 relay_node::relay_node(asio::io_context& context, relay_settings settings)
@@ -377,10 +392,8 @@
     impl_->drain_start = boot_clock::now();
     impl_->quiet_since = impl_->drain_start;
     impl_->forwarder.start_draining();
-    impl_->local.start_draining();
-    for (const auto& peer : impl_->peers) {
-        peer->tell_leaving();
-    }
+    const auto use_time = std::min(target_use_time, impl_->settings.grace / accepting_part);
+    impl_->deadlines.at(impl_->drain_start + use_time, [i = impl_.get()] { i->close_target(); });
     impl_->check_drained();
 }
 
--- a/libs/relay/tests/relay_node_test.cpp
+++ b/libs/relay/tests/relay_node_test.cpp
@@ -275,3 +275,22 @@
     CHECK(served == taken);
     run_until([this] { return ended; });
 }
+
+// Guards against a restart that takes the target of the node out of service for longer than needed,
+// and against requests for it that the end of the process cuts.
+TEST_CASE_METHOD(drained_fixture, "relay_drain_other_nodes_use_the_target_at_first")
+{
+    serve(true);
+    back.node->drain([this] { ended = true; });
+    int taken = 0;
+    auto got = ask(request_text("id-0"));
+    while (got.result_int() == 200 && !ended) {
+        ++taken;
+        context.run_for(50ms);
+        got = ask(request_text("id-" + std::to_string(taken)));
+    }
+    CHECK(taken > 0);
+    CHECK(got.result_int() == 503);
+    CHECK(back.target->requests().size() == static_cast<std::size_t>(taken));
+    run_until([this] { return ended; });
+}
