--- a/libs/dispatch/tests/deep_service_load_test.cpp
+++ b/libs/dispatch/tests/deep_service_load_test.cpp
@@ -33,6 +33,13 @@
         return static_cast<double>(r.served) / static_cast<double>(r.offered - r.unfinished);
     }
 
+    double sustained_goodput(const deep_service_load::options& shape, double factor)
+    {
+        load = deep_service_load(seed, shape);
+        load.replay({5s, factor});
+        return goodput(load.replay({60s, factor}), 60s);
+    }
+
     double goodput(const deep_service_load::result& r, std::chrono::duration<double> length) const
     {
         return static_cast<double>(r.served) / (load.capacity() * length.count());
@@ -110,3 +117,23 @@
                    << r.served << " failed " << r.failed);
     CHECK(goodput(r, 60s) * slowness >= promised_goodput);
 }
+
+// Guards against an admit level that fits one size of target and length of chain only.
+TEST_CASE_METHOD(deep_service_fixture, "admission_long_chains_and_large_targets_keep_goodput")
+{
+    using options = deep_service_load::options;
+    const auto shape = GENERATE(options{20, 1, 12, 40, 10ms, 1000ms, 400ms},
+                                options{60, 4, 2, 100, 100ms, 2000ms, 1500ms});
+    const double factor = GENERATE(2.0, 5.0);
+    CHECK(sustained_goodput(shape, factor) >= promised_goodput);
+}
+
+// The same for targets whose few slots, long runs or single calls leave little to average over.
+TEST_CASE_METHOD(deep_service_fixture, "admission_short_chains_and_slow_runs_keep_goodput")
+{
+    using options = deep_service_load::options;
+    const auto shape = GENERATE(options{16, 1, 2, 16, 300ms, 3000ms, 2000ms},
+                                options{30, 1, 1, 50, 40ms, 600ms, 600ms});
+    const double factor = GENERATE(2.0, 5.0);
+    CHECK(sustained_goodput(shape, factor) >= promised_goodput);
+}
--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -29,8 +29,6 @@
 /// dozen.
 constexpr std::uint32_t retry_burst = 1;
 
-constexpr double level_scale = 1000.0;
-
 refusal_reason reason_of(call_outcome o)
 {
     switch (o) {
@@ -243,7 +241,8 @@
         const target_load load{answer.running, answer.waiting, answer.limit,
                                std::chrono::milliseconds(answer.hold_ms)};
         placement_.note_load(*target, load, now);
-        levels_.record({route_key(call.way->name), call.service}, answer.level / level_scale, now);
+        levels_.record({route_key(call.way->name), call.service}, from_wire_level(answer.level),
+                       now);
     }
     if (outcome == call_outcome::unreachable) {
         placement_.note_unreachable(*target, now);
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -14,9 +14,6 @@
 /// Change of the admit level that is worth a log line.
 constexpr double logged_step = 0.1;
 
-/// The level in messages is in thousandths.
-constexpr double level_scale = 1000.0;
-
 } // namespace
 
 local_target::local_target(asio::io_context& context, deadline_queue& deadlines,
@@ -176,7 +173,7 @@
     answer.waiting = load.waiting;
     answer.limit = load.limit;
     answer.hold_ms = static_cast<std::uint32_t>(load.hold.count());
-    answer.level = static_cast<std::uint32_t>(level_of(c.call.route, now) * level_scale);
+    answer.level = to_wire_level(level_of(c.call.route, now));
     if (c.done) {
         c.done(std::move(answer));
     }
--- a/libs/relay/src/node_codec.h
+++ b/libs/relay/src/node_codec.h
@@ -35,6 +35,18 @@
 /// Bytes that the message takes in the buffer.
 std::size_t size_of(const raw_node_message& message);
 
+/// Hands each whole message in the buffer over and removes it. Throws `invalid_node_message` for
+/// bytes that are none.
+template<class Handler>
+void take_messages(boost::beast::flat_buffer& buffer, Handler handler)
+{
+    while (const auto message = peek_message(buffer)) {
+        const auto size = size_of(*message);
+        handler(*message);
+        buffer.consume(size);
+    }
+}
+
 /// Message without fields.
 std::string encode_message(node_message_kind kind, std::string_view fields = {});
 
--- a/libs/relay/src/node_message.h
+++ b/libs/relay/src/node_message.h
@@ -23,6 +23,19 @@
     state = 9,
 };
 
+/// Admit levels in messages are in thousandths.
+constexpr double wire_level_scale = 1000.0;
+
+inline std::uint32_t to_wire_level(double level)
+{
+    return static_cast<std::uint32_t>(level * wire_level_scale);
+}
+
+inline double from_wire_level(std::uint32_t level)
+{
+    return level / wire_level_scale;
+}
+
 /// First message on a connection: who calls.
 struct hello_message {
     std::string vm;
--- a/libs/relay/src/peer_link.cpp
+++ b/libs/relay/src/peer_link.cpp
@@ -126,11 +126,7 @@
 {
     last_received_ = boot_clock::now();
     try {
-        while (const auto message = peek_message(buffer)) {
-            const auto size = size_of(*message);
-            handle(*message);
-            buffer.consume(size);
-        }
+        take_messages(buffer, [this](const raw_node_message& message) { handle(message); });
     }
     catch (const invalid_node_message& e) {
         log_event("peer_message_invalid").add("peer", peer_).add("detail", e.what()).warning();
--- a/libs/relay/src/peer_session.cpp
+++ b/libs/relay/src/peer_session.cpp
@@ -25,11 +25,7 @@
 void peer_session::on_data(boost::beast::flat_buffer& buffer)
 {
     try {
-        while (const auto message = peek_message(buffer)) {
-            const auto size = size_of(*message);
-            handle(*message);
-            buffer.consume(size);
-        }
+        take_messages(buffer, [this](const raw_node_message& message) { handle(message); });
     }
     catch (const invalid_node_message& e) {
         log_event("peer_message_invalid").add("detail", e.what()).warning();
--- a/libs/relay/tests/relay_node_test.cpp
+++ b/libs/relay/tests/relay_node_test.cpp
@@ -29,6 +29,19 @@
 struct drained_fixture : two_vms_fixture {
     bool ended = false;
 
+    /// Sends requests until one is not served: how many were, and the answer to that one.
+    std::pair<int, answer> ask_until_refused()
+    {
+        int taken = 0;
+        auto got = ask(request_text("id-0"));
+        while (got.result_int() == 200 && !ended) {
+            ++taken;
+            context.run_for(50ms);
+            got = ask(request_text("id-" + std::to_string(taken)));
+        }
+        return {taken, got};
+    }
+
     unsigned ready_status()
     {
         return relay_fixture::ask(front.settings.ready, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
@@ -263,13 +276,7 @@
     asio::write(held, asio::buffer(request_text("id-held")));
     run_until([this] { return back.target->requests().size() == 1; });
     front.node->drain([this] { ended = true; });
-    int taken = 0;
-    auto got = ask(request_text("id-0"));
-    while (got.result_int() == 200 && !ended) {
-        ++taken;
-        context.run_for(50ms);
-        got = ask(request_text("id-" + std::to_string(taken)));
-    }
+    const auto [taken, got] = ask_until_refused();
     CHECK(got.result_int() == 503);
     CHECK(got.find("Retry-After") != got.end());
     CHECK(served == taken);
@@ -282,13 +289,7 @@
 {
     serve(true);
     back.node->drain([this] { ended = true; });
-    int taken = 0;
-    auto got = ask(request_text("id-0"));
-    while (got.result_int() == 200 && !ended) {
-        ++taken;
-        context.run_for(50ms);
-        got = ask(request_text("id-" + std::to_string(taken)));
-    }
+    const auto [taken, got] = ask_until_refused();
     CHECK(taken > 0);
     CHECK(got.result_int() == 503);
     CHECK(back.target->requests().size() == static_cast<std::size_t>(taken));
