Bound what bytes from outside can do to a node, and finish slow answers in a drain

Fields are counted before memory is taken, values of answers are checked for their range, nothing is read before a short greeting, and an exception that leaves a handler ends that connection or handler, is logged and counted. - bodies without end were held up to 64 MB each, with no bound for all of them. One answer takes at most a sixteenth of the memory, all that are read a quarter; then the largest is cut (byte_account). The caller gets a 502 at once and the connection is closed. - interim answers were taken in without end; 16 are allowed. - a failure without an id on a reused connection was taken as the answer of the next request, so that a late copy of a refusal told it that it had not run. It now counts as lost. - a drain ended while an answer was still unread by a slow reader and cut it off.

Ruled out: a bound for each connection only, since many within their bound fill the memory together. Not covered yet: bodies of requests of many callers together; they are bounded by the published limits for each.

--- /dev/null
+++ b/libs/dispatch/tests/byte_account_test.cpp
@@ -0,0 +1,37 @@
+#include "dispatch/byte_account.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+struct byte_account_fixture {
+    trefoil::byte_account account{100};
+};
+
+} // namespace
+
+// Guards against many holders, each within its bound, that fill the memory together.
+TEST_CASE_METHOD(byte_account_fixture, "byte_account_over_the_bound_largest_is_cut")
+{
+    account.set(1, 30);
+    account.set(2, 50);
+    account.set(3, 20);
+    CHECK_FALSE(account.to_cut());
+    account.set(3, 21);
+    CHECK(account.to_cut() == 2);
+    account.set(2, 0);
+    CHECK_FALSE(account.to_cut());
+    CHECK(account.total() == 51);
+}
+
+// Guards against a holder that is counted twice, or after it ended.
+TEST_CASE_METHOD(byte_account_fixture, "byte_account_changed_and_ended_holders_count_once")
+{
+    account.set(1, 60);
+    account.set(1, 70);
+    account.set(2, 0);
+    CHECK(account.total() == 70);
+    account.set(1, 0);
+    account.set(1, 0);
+    CHECK(account.total() == 0);
+}
--- a/libs/relay/src/byte_stream.cpp
+++ b/libs/relay/src/byte_stream.cpp
@@ -1,11 +1,15 @@
 #include "byte_stream.h"
 
+#include "base/log_event.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <exception>
+#include <typeinfo>
 #include <utility>
 
 namespace trefoil {
@@ -70,7 +74,18 @@
             }
             self->buffer_.commit(count);
             const auto on_data = self->handlers_.data; // The handler may replace itself.
-            on_data(self->buffer_);
+            try {
+                on_data(self->buffer_);
+            }
+            catch (const std::exception& e) {
+                // What one peer sent ends its connection, not the process.
+                log_event("connection_failed")
+                    .add("error", typeid(e).name())
+                    .add("detail", e.what())
+                    .error();
+                self->fail(asio::error::invalid_argument);
+                return;
+            }
             self->read();
         });
 }
--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -59,7 +59,8 @@
                                local_target& local, route_levels& levels, decision_log& log,
                                metrics& counters, peer_link::handlers link_handlers)
     : context_(context), deadlines_(deadlines), settings_(s), targets_(targets), local_(local),
-      report_(log, counters), link_handlers_(std::move(link_handlers)),
+      report_(log, counters), limits_(answer_limits::for_memory(s.memory_bytes)),
+      link_bytes_(limits_.all), link_handlers_(std::move(link_handlers)),
       placement_({s.zone, s.inbound.address().to_string()}), levels_(levels),
       random_(std::random_device{}())
 {
@@ -184,6 +185,7 @@
     message.host = call.request.host;
     message.headers = call.request.headers;
     message.body = call.request.body;
+    message.answer_limit = limits_.one;
     return message;
 }
 
@@ -220,6 +222,9 @@
                 }
             }
         };
+        handlers.held = [this, key = ++last_link_, address](std::size_t bytes) {
+            note_held(key, address, bytes);
+        };
         const tcp::endpoint peer(asio::ip::make_address(address), settings_.inbound.port());
         link = std::make_shared<peer_link>(
             context_, deadlines_, peer, hello_message{settings_.vm.str(), settings_.service.str()},
@@ -228,6 +233,27 @@
     return link;
 }
 
+void call_forwarder::note_held(byte_account::holder link, const std::string& address,
+                               std::size_t bytes)
+{
+    link_bytes_.set(link, bytes);
+    if (bytes > 0) {
+        link_addresses_[link] = address;
+    }
+    else {
+        link_addresses_.erase(link);
+    }
+    while (const auto largest = link_bytes_.to_cut()) {
+        const auto where = link_addresses_.at(*largest);
+        log_event("peer_cut").add("peer", where).add("reason", "unread answers").warning();
+        link_bytes_.set(*largest, 0);
+        link_addresses_.erase(*largest);
+        if (const auto it = links_.find(where); it != links_.end()) {
+            it->second->cut();
+        }
+    }
+}
+
 void call_forwarder::note_answer(pending_call& call, const answer_message& answer,
                                  call_outcome outcome)
 {
--- a/libs/relay/src/call_forwarder.h
+++ b/libs/relay/src/call_forwarder.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "answer_limits.h"
 #include "call_report.h"
 #include "local_target.h"
 #include "pending_call.h"
 
+#include "dispatch/byte_account.h"
 #include "dispatch/first_hop_gate.h"
 #include "dispatch/placement.h"
 #include "dispatch/route_levels.h"
@@ -66,6 +68,8 @@
     void finish(const call_ptr& call, relay_answer answer);
     double level_of(const pending_call& call) const;
     retry_budget& budget_of(const service_name& service);
+    /// A link holds this many bytes of unfinished messages. Cuts the largest if all hold too much.
+    void note_held(byte_account::holder link, const std::string& address, std::size_t bytes);
 
     asio::io_context& context_;
     deadline_queue& deadlines_;
@@ -73,6 +77,10 @@
     target_directory& targets_;
     local_target& local_;
     call_report report_;
+    answer_limits limits_;
+    byte_account link_bytes_;
+    std::unordered_map<byte_account::holder, std::string> link_addresses_;
+    byte_account::holder last_link_ = 0;
     peer_link::handlers link_handlers_;
     placement placement_;
     first_hop_gate gate_;
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -18,9 +18,9 @@
 
 local_target::local_target(asio::io_context& context, deadline_queue& deadlines,
                            tcp::endpoint upstream, const header_dialect& names,
-                           const route_levels& levels, decision_log& log)
-    : deadlines_(deadlines), client_(context, deadlines, std::move(upstream), names), log_(log),
-      levels_(levels), queue_(initial_slots), names_(names)
+                           answer_limits limits, const route_levels& levels, decision_log& log)
+    : deadlines_(deadlines), client_(context, deadlines, std::move(upstream), names, limits),
+      log_(log), levels_(levels), queue_(initial_slots), names_(names)
 {
 }
 
@@ -101,9 +101,10 @@
         return;
     }
     auto& c = it->second;
-    const upstream_request request{
-        c.call.id,   c.call.method,    c.call.target,    c.call.host,       c.call.headers,
-        c.call.body, c.call.target_id, c.caller_service, c.call.idempotent, c.deadline};
+    const upstream_request request{c.call.id,        c.call.method,      c.call.target,
+                                   c.call.host,      c.call.headers,     c.call.body,
+                                   c.call.target_id, c.caller_service,   c.call.idempotent,
+                                   c.deadline,       c.call.answer_limit};
     runs_[c.call.id] = {c.call.route, c.call.rank, c.request_deadline};
     c.exchange = client_.start(
         request, [this, ticket](upstream_result result) { on_result(ticket, std::move(result)); });
--- a/libs/relay/src/local_target.h
+++ b/libs/relay/src/local_target.h
@@ -25,7 +25,8 @@
     using answer_handler = std::function<void(answer_message)>;
 
     local_target(asio::io_context& context, deadline_queue& deadlines, tcp::endpoint upstream,
-                 const header_dialect& names, const route_levels& levels, decision_log& log);
+                 const header_dialect& names, answer_limits limits, const route_levels& levels,
+                 decision_log& log);
 
     /// Takes over what the target publishes about itself.
     void set_entry(const target_entry& entry);
--- a/libs/relay/src/node_codec.cpp
+++ b/libs/relay/src/node_codec.cpp
@@ -1,24 +1,82 @@
 #include "node_codec.h"
 
+#include "dispatch/call_outcome.h"
+
 #include <boost/endian/conversion.hpp>
 
 namespace trefoil {
 
 namespace {
 
-/// No message is longer; the largest bodies are far below.
-constexpr std::uint32_t max_message = 96U << 20U;
+/// Values of all arrays in one message: the fields of a state message with some ten thousand items.
+constexpr std::size_t max_values = 64U << 10U;
+
+/// A message holds arrays of items, which are arrays.
+constexpr std::size_t max_depth = 4;
+
+/// Counts the values that a message announces, without taking memory for them.
+class shape_visitor : public msgpack::null_visitor {
+public:
+    bool start_array(std::uint32_t count)
+    {
+        values_ += count;
+        ++depth_;
+        return values_ <= max_values && depth_ <= max_depth;
+    }
+    bool end_array()
+    {
+        --depth_;
+        return true;
+    }
+    // No message has maps or extension types.
+    bool start_map(std::uint32_t /*count*/) { return false; }
+    bool visit_ext(const char* /*bytes*/, std::uint32_t /*size*/) { return false; }
+    void parse_error(std::size_t /*parsed*/, std::size_t /*at*/) { is_valid_ = false; }
+    void insufficient_bytes(std::size_t /*parsed*/, std::size_t /*at*/) { is_valid_ = false; }
+
+    bool is_valid() const noexcept { return is_valid_; }
+
+private:
+    std::size_t values_ = 0;
+    std::size_t depth_ = 0;
+    bool is_valid_ = true;
+};
 
 } // namespace
 
-std::optional<raw_node_message> peek_message(const boost::beast::flat_buffer& buffer)
+void check_shape(std::string_view fields)
+{
+    shape_visitor visitor;
+    if (!msgpack::parse(fields.data(), fields.size(), visitor) || !visitor.is_valid()) {
+        throw invalid_node_message("no fields of a message");
+    }
+}
+
+void check_range(const answer_message& answer)
+{
+    constexpr unsigned first_status = 100;
+    constexpr unsigned last_status = 599;
+    const bool is_answered = answer.outcome == static_cast<std::uint8_t>(call_outcome::answered);
+    if (answer.outcome > static_cast<std::uint8_t>(call_outcome::lost)) {
+        throw invalid_node_message("outcome " + std::to_string(answer.outcome));
+    }
+    if (is_answered && (answer.status < first_status || answer.status > last_status)) {
+        throw invalid_node_message("status " + std::to_string(answer.status));
+    }
+    if (answer.level > to_wire_level(1.0)) {
+        throw invalid_node_message("level " + std::to_string(answer.level));
+    }
+}
+
+std::optional<raw_node_message> peek_message(const boost::beast::flat_buffer& buffer,
+                                             std::size_t most)
 {
     if (buffer.size() < node_message_header) {
         return std::nullopt;
     }
     const auto* bytes = static_cast<const unsigned char*>(buffer.data().data());
     const auto length = boost::endian::load_big_u32(bytes);
-    if (length > max_message) {
+    if (length > most) {
         throw invalid_node_message("length " + std::to_string(length));
     }
     if (buffer.size() < node_message_header + length) {
--- a/libs/relay/src/node_codec.h
+++ b/libs/relay/src/node_codec.h
@@ -27,10 +27,22 @@
 /// Header of a message: length and kind.
 inline constexpr std::size_t node_message_header = 5;
 
+/// No message is longer. An answer is bounded by the memory of the node that asked for it, of which
+/// it is a small part.
+inline constexpr std::size_t largest_message = 96U << 20U;
+
+/// The first message of a connection is no longer.
+inline constexpr std::size_t largest_greeting = 4096;
+
 /// Takes the first whole message of the buffer; none if more bytes are needed. The view is valid
-/// until the buffer is consumed by `size_of`. Throws invalid_node_message for a length that no
-/// message has.
-std::optional<raw_node_message> peek_message(const boost::beast::flat_buffer& buffer);
+/// until the buffer is consumed by `size_of`. Throws invalid_node_message for a length above
+/// `most`.
+std::optional<raw_node_message> peek_message(const boost::beast::flat_buffer& buffer,
+                                             std::size_t most);
+
+/// Throws invalid_node_message unless the bytes are one MessagePack value whose arrays, counted
+/// before memory is taken for them, are as few and as flat as those of messages.
+void check_shape(std::string_view fields);
 
 /// Bytes that the message takes in the buffer.
 std::size_t size_of(const raw_node_message& message);
@@ -38,15 +50,18 @@
 /// Hands each whole message in the buffer over and removes it. Throws `invalid_node_message` for
 /// bytes that are none.
 template<class Handler>
-void take_messages(boost::beast::flat_buffer& buffer, Handler handler)
+void take_messages(boost::beast::flat_buffer& buffer, std::size_t most, Handler handler)
 {
-    while (const auto message = peek_message(buffer)) {
+    while (const auto message = peek_message(buffer, most)) {
         const auto size = size_of(*message);
         handler(*message);
         buffer.consume(size);
     }
 }
 
+/// Throws invalid_node_message if a field has a value that no answer has.
+void check_range(const answer_message& answer);
+
 /// Message without fields.
 std::string encode_message(node_message_kind kind, std::string_view fields = {});
 
@@ -62,6 +77,7 @@
 template<class Fields>
 Fields decode_fields(const raw_node_message& message)
 {
+    check_shape(message.fields);
     try {
         return msgpack::unpack(message.fields.data(), message.fields.size())
             .get()
--- a/libs/relay/src/node_message.h
+++ b/libs/relay/src/node_message.h
@@ -102,9 +102,11 @@
     wire_mark mark;
     /// Milliseconds that the request at the first hop has beyond `time_left_ms`; 0 if this is it.
     std::uint32_t request_extra_ms = 0;
+    /// Largest answer that the sender takes, in bytes; 0 if it names none.
+    std::uint64_t answer_limit = 0;
 
     MSGPACK_DEFINE(stream, time_left_ms, route, rank, idempotent, nested, target_id, id, method,
-                   target, host, headers, body, sent_ms, mark, request_extra_ms)
+                   target, host, headers, body, sent_ms, mark, request_extra_ms, answer_limit)
 };
 
 /// How a request ended at the receiver.
--- a/libs/relay/src/peer_link.cpp
+++ b/libs/relay/src/peer_link.cpp
@@ -146,8 +146,12 @@
 void peer_link::on_data(boost::beast::flat_buffer& buffer)
 {
     last_received_ = boot_clock::now();
+    // A handler may end this link.
+    const auto self = shared_from_this();
     try {
-        take_messages(buffer, [this](const raw_node_message& message) { handle(message); });
+        take_messages(buffer, largest_message,
+                      [this](const raw_node_message& message) { handle(message); });
+        handlers_.held(buffer.size());
     }
     catch (const invalid_node_message& e) {
         log_event("peer_message_invalid").add("peer", peer_).add("detail", e.what()).warning();
@@ -160,6 +164,7 @@
     switch (message.kind) {
     case node_message_kind::answer: {
         auto answer = decode_fields<answer_message>(message);
+        check_range(answer);
         if (handlers_.state.peer_mark(answer.mark.mark())) {
             request_state();
         }
@@ -194,6 +199,7 @@
     }
     unsent_.clear();
     unsent_control_.clear();
+    handlers_.held(0);
     if (closed_) {
         return;
     }
--- a/libs/relay/src/peer_link.h
+++ b/libs/relay/src/peer_link.h
@@ -27,6 +27,8 @@
         /// The peer is shutting down and takes no new requests.
         std::function<void()> leaving;
         state_handlers state;
+        /// Bytes of an unfinished message of the peer that are held.
+        std::function<void(std::size_t bytes)> held;
     };
 
     peer_link(asio::io_context& context, deadline_queue& deadlines, tcp::endpoint peer,
@@ -53,6 +55,9 @@
 
     void close();
 
+    /// Ends the connection; the requests on it are lost.
+    void cut() { on_lost(); }
+
 private:
     void open();
     void on_connected();
--- a/libs/relay/src/peer_session.cpp
+++ b/libs/relay/src/peer_session.cpp
@@ -25,7 +25,8 @@
 void peer_session::on_data(boost::beast::flat_buffer& buffer)
 {
     try {
-        take_messages(buffer, [this](const raw_node_message& message) { handle(message); });
+        const auto most = greeted_ ? largest_message : largest_greeting;
+        take_messages(buffer, most, [this](const raw_node_message& message) { handle(message); });
     }
     catch (const invalid_node_message& e) {
         log_event("peer_message_invalid").add("detail", e.what()).warning();
@@ -36,8 +37,12 @@
 
 void peer_session::handle(const raw_node_message& message)
 {
+    if (!greeted_ && message.kind != node_message_kind::hello) {
+        throw invalid_node_message("no greeting");
+    }
     switch (message.kind) {
     case node_message_kind::hello: {
+        greeted_ = true;
         const auto hello = decode_fields<hello_message>(message);
         caller_service_ = hello.service;
         delay_.observe(hello.sent_ms, mono_stamp());
--- a/libs/relay/src/peer_session.h
+++ b/libs/relay/src/peer_session.h
@@ -46,6 +46,9 @@
 
     void close();
 
+    /// Bytes held for this peer.
+    std::size_t held_bytes() const { return stream_->unwritten(); }
+
 private:
     void on_data(boost::beast::flat_buffer& buffer);
     void handle(const struct raw_node_message& message);
@@ -58,6 +61,7 @@
     /// Tickets by the peer's numbers.
     std::unordered_map<std::uint32_t, std::uint64_t> tickets_;
     bool leaving_told_ = false;
+    bool greeted_ = false;
 };
 
 } // namespace trefoil
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -67,7 +67,7 @@
     return members;
 }
 
-/// Part of the memory that answers waiting for slow callers may take.
+/// Part of the memory that answers waiting for slow callers may take, and those for slow peers.
 constexpr std::size_t held_part = 4;
 
 } // namespace
@@ -76,7 +76,8 @@
 public:
     impl(asio::io_context& c, relay_settings s)
         : context(c), settings(std::move(s)), deadlines(c),
-          local(c, deadlines, settings.upstream, settings.headers, levels, log),
+          local(c, deadlines, settings.upstream, settings.headers,
+                answer_limits::for_memory(settings.memory_bytes), levels, log),
           forwarder(c, deadlines, settings, targets, local, levels, log, counters, link_handlers()),
           outbound(c, settings.outbound,
                    [this](tcp::socket socket) { accept_caller(std::move(socket)); }),
@@ -88,7 +89,7 @@
 
     peer_link::handlers link_handlers()
     {
-        return {[] {}, exchange_handlers()};
+        return {[] {}, exchange_handlers(), [](std::size_t) {}};
     }
 
     state_handlers exchange_handlers()
@@ -223,7 +224,14 @@
             held += session->held_bytes();
         }
         if (held > settings.memory_bytes / held_part) {
-            close_slowest();
+            close_slowest(callers, "caller_closed");
+        }
+        std::size_t held_for_peers = 0;
+        for (const auto& session : peers) {
+            held_for_peers += session->held_bytes();
+        }
+        if (held_for_peers > settings.memory_bytes / held_part) {
+            close_slowest(peers, "peer_closed");
         }
         for (const auto& id : targets.expire(now)) {
             log_event("target_dropped").add("target", id).add("reason", "not confirmed").info();
@@ -232,19 +240,20 @@
         deadlines.at(now + sweep_interval, [this] { sweep(); });
     }
 
-    /// Frees the memory of the caller that has the most unread bytes.
-    void close_slowest()
+    /// Frees the memory of the session that has the most unread bytes.
+    template<class Session>
+    static void close_slowest(std::set<std::shared_ptr<Session>>& sessions, std::string_view event)
     {
         const auto slowest =
-            std::max_element(callers.begin(), callers.end(), [](const auto& a, const auto& b) {
+            std::max_element(sessions.begin(), sessions.end(), [](const auto& a, const auto& b) {
                 return a->held_bytes() < b->held_bytes();
             });
-        if (slowest == callers.end()) {
+        if (slowest == sessions.end()) {
             return;
         }
-        const auto closed = callers.extract(slowest);
+        const auto closed = sessions.extract(slowest);
         const auto& session = closed.value();
-        log_event("caller_closed")
+        log_event(event)
             .add("reason", "unread answers")
             .add("bytes", session->held_bytes())
             .warning();
@@ -261,10 +270,17 @@
         }
     }
 
+    /// An answer is on its way until its reader has taken it; the end of the process cuts it off.
+    bool has_unread_answers() const
+    {
+        return std::ranges::any_of(callers, [](const auto& s) { return s->held_bytes() > 0; }) ||
+               std::ranges::any_of(peers, [](const auto& s) { return s->held_bytes() > 0; });
+    }
+
     void check_drained()
     {
         const auto now = boot_clock::now();
-        const bool is_busy = local.in_flight() + forwarder.in_flight() > 0;
+        const bool is_busy = local.in_flight() + forwarder.in_flight() > 0 || has_unread_answers();
         if (is_busy) {
             quiet_since = now;
         }
--- a/libs/relay/src/upstream_client.cpp
+++ b/libs/relay/src/upstream_client.cpp
@@ -20,11 +20,27 @@
 }
 
 upstream_client::upstream_client(asio::io_context& context, deadline_queue& deadlines,
-                                 tcp::endpoint target, const header_dialect& names)
-    : context_(context), deadlines_(deadlines), target_(std::move(target)), names_(names)
+                                 tcp::endpoint target, const header_dialect& names,
+                                 answer_limits limits)
+    : context_(context), deadlines_(deadlines), target_(std::move(target)), names_(names),
+      limits_(limits), held_(limits.all)
 {
 }
 
+void upstream_client::note_held(upstream_exchange& exchange, std::size_t bytes)
+{
+    held_.set(exchange.number(), bytes);
+    if (bytes == 0) {
+        holders_.erase(exchange.number());
+        return;
+    }
+    holders_[exchange.number()] = &exchange;
+    while (const auto largest = held_.to_cut()) {
+        // Ending the exchange removes it here.
+        holders_.at(*largest)->end_for_memory();
+    }
+}
+
 std::shared_ptr<byte_stream> upstream_client::take_idle(bool idempotent)
 {
     const auto now = boot_clock::now();
@@ -63,7 +79,8 @@
 std::shared_ptr<upstream_exchange> upstream_client::start(const upstream_request& request,
                                                           result_handler done)
 {
-    auto exchange = std::make_shared<upstream_exchange>(*this, request, std::move(done));
+    auto exchange =
+        std::make_shared<upstream_exchange>(*this, ++last_number_, request, std::move(done));
     exchange->start(request, take_idle(request.idempotent));
     return exchange;
 }
--- a/libs/relay/src/upstream_client.h
+++ b/libs/relay/src/upstream_client.h
@@ -1,15 +1,18 @@
 #pragma once
 
+#include "answer_limits.h"
 #include "byte_stream.h"
 #include "deadline_queue.h"
 #include "relay_call.h"
 
+#include "dispatch/byte_account.h"
 #include "dispatch/call_outcome.h"
 #include "relay/header_dialect.h"
 
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace trefoil {
@@ -26,6 +29,8 @@
     std::string caller_service;
     bool idempotent = false;
     mono_time deadline;
+    /// Largest answer that the node of the caller takes.
+    std::size_t answer_limit = 0;
 };
 
 /// How the own target dealt with a request.
@@ -41,7 +46,7 @@
     using result_handler = std::function<void(upstream_result)>;
 
     upstream_client(asio::io_context& context, deadline_queue& deadlines, tcp::endpoint target,
-                    const header_dialect& names);
+                    const header_dialect& names, answer_limits limits);
 
     /// Starts a request; `done` runs once unless it is cancelled. Returns a handle for `cancel`.
     std::shared_ptr<class upstream_exchange> start(const upstream_request& request,
@@ -70,6 +75,8 @@
     };
 
     std::shared_ptr<byte_stream> take_idle(bool idempotent);
+    /// The exchange holds this many bytes of its answer. Ends the largest if all hold too much.
+    void note_held(class upstream_exchange& exchange, std::size_t bytes);
     void keep(std::shared_ptr<byte_stream> stream, std::chrono::milliseconds usable);
 
     asio::io_context& context_;
@@ -77,6 +84,11 @@
     tcp::endpoint target_;
     const header_dialect& names_;
     std::vector<idle_connection> idle_;
+    answer_limits limits_;
+    byte_account held_;
+    /// Exchanges that hold a part of an answer, by their number in `held_`.
+    std::unordered_map<byte_account::holder, class upstream_exchange*> holders_;
+    byte_account::holder last_number_ = 0;
 };
 
 } // namespace trefoil
--- a/libs/relay/src/upstream_exchange.cpp
+++ b/libs/relay/src/upstream_exchange.cpp
@@ -16,8 +16,9 @@
 
 namespace {
 
-/// Largest answer that is passed on whole.
-constexpr std::uint64_t max_answer_body = 64U << 20U;
+/// Interim answers (status 1xx) before the final one. HTTP defines three kinds, and a target has no
+/// reason to send one of them often.
+constexpr std::size_t max_interim_answers = 16;
 
 /// Time by which the target's own answer at the deadline may come later.
 constexpr std::chrono::milliseconds late_answer_time{150};
@@ -50,17 +51,22 @@
 
 } // namespace
 
-upstream_exchange::upstream_exchange(upstream_client& client, const upstream_request& request,
+upstream_exchange::upstream_exchange(upstream_client& client, byte_account::holder number,
+                                     const upstream_request& request,
                                      upstream_client::result_handler done)
-    : client_(client), done_(std::move(done)), id_(request.id), is_head_(request.method == "HEAD")
+    : client_(client), done_(std::move(done)), id_(request.id), number_(number),
+      answer_limit_(client.limits_.one), is_head_(request.method == "HEAD")
 {
+    if (request.answer_limit > 0) {
+        answer_limit_ = std::min(answer_limit_, request.answer_limit);
+    }
 }
 
 void upstream_exchange::new_parser()
 {
     parser_.emplace();
     parser_->eager(true);
-    parser_->body_limit(max_answer_body);
+    parser_->body_limit(answer_limit_);
     if (is_head_) {
         parser_->skip(true);
     }
@@ -104,6 +110,7 @@
         }
     });
     if (reused) {
+        is_reused_ = true;
         stream_ = std::move(reused);
         stream_->set_handlers(stream_handlers());
         stream_->write(request_text(request));
@@ -130,35 +137,64 @@
     while (done_ && buffer.size() > 0) {
         boost::system::error_code error;
         buffer.consume(parser_->put(buffer.data(), error));
-        if (error == http::error::need_more) {
-            return;
-        }
-        if (error) {
-            log_event("answer_invalid").add("id", id_).add("detail", error.message()).warning();
-            finish_lost();
+        if (error && error != http::error::need_more) {
+            finish_invalid(error.message());
             return;
         }
         if (!parser_->is_done()) {
+            client_.note_held(*this, parser_->get().body().size());
+            if (error) {
+                return;
+            }
             continue;
         }
         on_message(buffer);
     }
 }
 
-bool upstream_exchange::is_own(const http::response<http::string_body>& message) const
+upstream_exchange::owner
+upstream_exchange::owner_of(const http::response<http::string_body>& message) const
 {
     const auto answered = find_header(message, client_.names_.request_id);
-    return answered ? *answered == id_ : message.result_int() / 100 != 2;
+    if (answered) {
+        return *answered == id_ ? owner::this_request : owner::other_request;
+    }
+    if (message.result_int() / 100 == 2) {
+        return owner::other_request;
+    }
+    return is_reused_ ? owner::unknown : owner::this_request;
+}
+
+bool upstream_exchange::take_interim()
+{
+    ++interim_answers_;
+    return interim_answers_ <= max_interim_answers;
+}
+
+void upstream_exchange::finish_invalid(const std::string& detail)
+{
+    log_event("answer_invalid").add("id", id_).add("detail", detail).warning();
+    finish_lost();
+}
+
+void upstream_exchange::end_for_memory()
+{
+    finish_invalid("answers take too much memory");
 }
 
 void upstream_exchange::on_message(boost::beast::flat_buffer& buffer)
 {
     auto message = parser_->release();
     if (message.result_int() / 100 == 1) {
-        new_parser();
+        take_interim() ? new_parser() : finish_invalid("too many interim answers");
+        return;
+    }
+    const auto whose = owner_of(message);
+    if (whose == owner::unknown) {
+        finish_invalid("failure without an id on a reused connection");
         return;
     }
-    if (!is_own(message)) {
+    if (whose == owner::other_request) {
         // A surplus answer to an earlier request; the one that is due follows it.
         log_event("answer_of_other_request").add("id", id_).warning();
         is_clean_ = false;
@@ -210,7 +246,7 @@
         boost::system::error_code end;
         parser_->put_eof(end);
         if (!end && parser_->is_done()) {
-            if (is_own(parser_->get())) {
+            if (owner_of(parser_->get()) == owner::this_request) {
                 finish(result_of(parser_->release()));
                 return;
             }
@@ -233,6 +269,7 @@
 
 void upstream_exchange::finish(upstream_result result)
 {
+    client_.note_held(*this, 0);
     const auto done = std::exchange(done_, nullptr);
     if (stream_) {
         std::exchange(stream_, nullptr)->close();
@@ -244,6 +281,7 @@
 
 void upstream_exchange::cancel()
 {
+    client_.note_held(*this, 0);
     done_ = nullptr;
     if (stream_) {
         std::exchange(stream_, nullptr)->abort();
--- a/libs/relay/src/upstream_exchange.h
+++ b/libs/relay/src/upstream_exchange.h
@@ -13,14 +13,20 @@
 /// One request on one connection to the own target, until its answer is whole.
 class upstream_exchange : public std::enable_shared_from_this<upstream_exchange> {
 public:
-    upstream_exchange(upstream_client& client, const upstream_request& request,
-                      upstream_client::result_handler done);
+    upstream_exchange(upstream_client& client, byte_account::holder number,
+                      const upstream_request& request, upstream_client::result_handler done);
 
     /// Writes the request; opens a connection if there is none to reuse.
     void start(const upstream_request& request, std::shared_ptr<byte_stream> reused);
 
     void cancel();
 
+    /// Identifies the exchange in the client's account of bytes.
+    byte_account::holder number() const noexcept { return number_; }
+
+    /// Gives the answer up, since all answers together take too much memory.
+    void end_for_memory();
+
 private:
     using response_parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
@@ -30,8 +36,15 @@
     void on_closed(boost::system::error_code error);
     void on_deadline();
     void new_parser();
-    /// Whether the answer names this request. Targets echo the id on all but some failures.
-    bool is_own(const boost::beast::http::response<boost::beast::http::string_body>& message) const;
+    /// Whose answer a message is. Targets echo the id on all but some failures. A failure without
+    /// one is the request's own on a connection that carried no other; on a reused connection it
+    /// may be the late copy of an earlier answer.
+    enum class owner : std::uint8_t { this_request, other_request, unknown };
+    owner
+    owner_of(const boost::beast::http::response<boost::beast::http::string_body>& message) const;
+    /// Counts an interim answer. False if there are too many.
+    bool take_interim();
+    void finish_invalid(const std::string& detail);
     void on_message(boost::beast::flat_buffer& buffer);
     void finish(upstream_result result);
     void finish_lost();
@@ -43,6 +56,10 @@
     std::shared_ptr<byte_stream> stream_;
     std::optional<response_parser> parser_;
     std::string id_;
+    byte_account::holder number_;
+    std::size_t answer_limit_;
+    std::size_t interim_answers_ = 0;
+    bool is_reused_ = false;
     bool is_head_ = false;
     bool is_clean_ = true;
 };
--- a/libs/relay/tests/relay_fixture.h
+++ b/libs/relay/tests/relay_fixture.h
@@ -31,6 +31,8 @@
     asio::io_context context{1};
     const unsigned short port = free_port();
     std::vector<std::unique_ptr<vm>> vms;
+    /// Memory that the nodes added from now on may use.
+    std::size_t memory_bytes = relay_settings().memory_bytes;
 
     ~relay_fixture() { context.stop(); }
 
@@ -66,6 +68,7 @@
         v->settings.inbound = at(1);
         v->settings.ready = at(2);
         v->settings.upstream = at(3);
+        v->settings.memory_bytes = memory_bytes;
         v->target = std::make_unique<stand_in_target>(context, at(3), std::move(respond));
         v->node = std::make_unique<relay_node>(context, v->settings);
         auto& received = v->received;
--- a/libs/relay/tests/relay_node_test.cpp
+++ b/libs/relay/tests/relay_node_test.cpp
@@ -243,6 +243,33 @@
     CHECK(front.received.front().value == "value");
 }
 
+// Guards against a planned stop that cuts off an answer which its reader takes slowly.
+TEST_CASE_METHOD(drained_fixture, "relay_drain_answer_that_is_read_slowly_is_finished")
+{
+    // More than the buffers of a loopback connection hold.
+    const std::string body(std::size_t{12} << 20U, 'x');
+    respond = [&](const auto& r) { return reply{stand_in_target::answer(r, body), end::keep}; };
+    serve(false);
+    auto caller = connect(front.settings.outbound);
+    asio::write(caller, asio::buffer(request_text("id-1")));
+    run_until([&] { return caller.available() > 0; });
+    front.node->drain([this] { ended = true; });
+    context.run_for(3s);
+    context.restart();
+    CHECK_FALSE(ended);
+    boost::beast::flat_buffer buffer;
+    boost::beast::http::response_parser<boost::beast::http::string_body> parser;
+    parser.body_limit(body.size());
+    bool is_read = false;
+    boost::beast::http::async_read(caller, buffer, parser, [&](auto error, std::size_t) {
+        CHECK_FALSE(error);
+        is_read = true;
+    });
+    run_until([&] { return is_read; });
+    CHECK(parser.get().body().size() == body.size());
+    run_until([this] { return ended; });
+}
+
 // Guards against requests cut by a planned stop, and callers that are not told of it.
 TEST_CASE_METHOD(drained_fixture, "relay_drain_finishes_requests_and_is_not_ready")
 {
