Await work on silent machines, and hand requests over to targets that started under a new id

Cause: a connection to a node on which nothing arrived for 1.6 s was ended with all its requests, so that work which must not be repeated was given up (502) while its machine only stood still. Such requests are now awaited until their deadline or the end of the connection; repeatable ones go elsewhere and are cancelled there, and new ones use another connection.

The node beside a target knows its service from its settings. After a 421 it asks the target for its id once and hands over requests for that service which name a refused id (target_identity). An id that the store holds for another service is not used.

--- a/libs/dispatch/include/dispatch/traffic_config.h
+++ b/libs/dispatch/include/dispatch/traffic_config.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "base/names.h"
 #include "base/versions.h"
 #include "dispatch/route.h"
 
 #include <chrono>
 #include <cstddef>
+#include <map>
+#include <string>
 #include <vector>
 
 namespace trefoil {
@@ -24,6 +27,8 @@
     config_version version;
     std::vector<route> routes;
     caller_limits limits;
+    /// Paths at which targets answer status checks, by service.
+    std::map<service_name, std::string> status_paths{};
 };
 
 } // namespace trefoil
--- a/libs/relay/include/relay/header_dialect.h
+++ b/libs/relay/include/relay/header_dialect.h
@@ -22,6 +22,8 @@
     /// A target that calls another service while it runs a request extends the id of that request
     /// by this character and more; 0 if it does not.
     char id_separator = '.';
+    /// Set by targets on the answer to a status check: their id.
+    std::string target_id = "trefoil-target-id";
     /// Set by targets: running requests, waiting requests and slots, separated by commas.
     std::string target_load = "trefoil-load";
 };
--- a/libs/relay/include/relay/http_get_client.h
+++ b/libs/relay/include/relay/http_get_client.h
@@ -25,6 +25,7 @@
     std::string body;
     /// Reason why there was none.
     std::string detail;
+    boost::beast::http::fields headers{};
 };
 
 /// GET requests to one server over one kept connection, one after another. Dead connections are
--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -186,6 +186,7 @@
     message.headers = call.request.headers;
     message.body = call.request.body;
     message.answer_limit = limits_.one;
+    message.service = call.service.str();
     return message;
 }
 
@@ -222,34 +223,31 @@
                 }
             }
         };
-        handlers.held = [this, key = ++last_link_, address](std::size_t bytes) {
-            note_held(key, address, bytes);
+        const auto number = ++last_link_;
+        handlers.held = [this, number](std::size_t bytes) { note_held(number, bytes); };
+        handlers.silent = [this, address] {
+            if (const auto it = links_.find(address); it != links_.end()) {
+                silent_links_.push_back(std::move(it->second));
+                links_.erase(it);
+            }
         };
         const tcp::endpoint peer(asio::ip::make_address(address), settings_.inbound.port());
         link = std::make_shared<peer_link>(
             context_, deadlines_, peer, hello_message{settings_.vm.str(), settings_.service.str()},
             std::move(handlers));
+        links_by_number_[number] = link;
     }
     return link;
 }
 
-void call_forwarder::note_held(byte_account::holder link, const std::string& address,
-                               std::size_t bytes)
+void call_forwarder::note_held(byte_account::holder link, std::size_t bytes)
 {
     link_bytes_.set(link, bytes);
-    if (bytes > 0) {
-        link_addresses_[link] = address;
-    }
-    else {
-        link_addresses_.erase(link);
-    }
     while (const auto largest = link_bytes_.to_cut()) {
-        const auto where = link_addresses_.at(*largest);
-        log_event("peer_cut").add("peer", where).add("reason", "unread answers").warning();
         link_bytes_.set(*largest, 0);
-        link_addresses_.erase(*largest);
-        if (const auto it = links_.find(where); it != links_.end()) {
-            it->second->cut();
+        if (const auto held = links_by_number_[*largest].lock()) {
+            log_event("peer_cut").add("reason", "answers take too much memory").warning();
+            held->cut();
         }
     }
 }
@@ -375,6 +373,14 @@
 
 void call_forwarder::close_unused_links(mono_time now)
 {
+    std::erase_if(links_by_number_, [](const auto& entry) { return entry.second.expired(); });
+    std::erase_if(silent_links_, [](const auto& link) {
+        const bool is_over = link->in_flight() == 0;
+        if (is_over) {
+            link->close();
+        }
+        return is_over;
+    });
     for (auto it = links_.begin(); it != links_.end();) {
         const auto& link = it->second;
         if (link->in_flight() == 0 && now - link->last_used() > link_idle_limit) {
--- a/libs/relay/src/call_forwarder.h
+++ b/libs/relay/src/call_forwarder.h
@@ -69,7 +69,7 @@
     double level_of(const pending_call& call) const;
     retry_budget& budget_of(const service_name& service);
     /// A link holds this many bytes of unfinished messages. Cuts the largest if all hold too much.
-    void note_held(byte_account::holder link, const std::string& address, std::size_t bytes);
+    void note_held(byte_account::holder link, std::size_t bytes);
 
     asio::io_context& context_;
     deadline_queue& deadlines_;
@@ -79,7 +79,7 @@
     call_report report_;
     answer_limits limits_;
     byte_account link_bytes_;
-    std::unordered_map<byte_account::holder, std::string> link_addresses_;
+    std::unordered_map<byte_account::holder, std::weak_ptr<peer_link>> links_by_number_;
     byte_account::holder last_link_ = 0;
     peer_link::handlers link_handlers_;
     placement placement_;
@@ -88,6 +88,8 @@
     route_levels& levels_;
     std::shared_ptr<const route_table> routes_;
     std::map<std::string, std::shared_ptr<peer_link>> links_;
+    /// Silent links that still have requests.
+    std::vector<std::shared_ptr<peer_link>> silent_links_;
     std::map<service_name, retry_budget> budgets_;
     std::unordered_map<const caller_session*, call_ptr> calls_;
     std::mt19937_64 random_;
--- a/libs/relay/src/http_get_client.cpp
+++ b/libs/relay/src/http_get_client.cpp
@@ -96,9 +96,10 @@
                 self->finish({0, {}, "read: " + error.message()}, false);
                 return;
             }
-            const bool keep = self->parser_->get().keep_alive();
+            auto message = self->parser_->release();
+            const bool keep = message.keep_alive();
             self->finish(
-                {self->parser_->get().result_int(), std::move(self->parser_->get().body()), {}},
+                {message.result_int(), std::move(message.body()), {}, std::move(message.base())},
                 keep);
         });
 }
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -1,5 +1,7 @@
 #include "local_target.h"
 
+#include "http_text.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -11,6 +13,9 @@
 /// Slots assumed until the target's entry is known.
 constexpr std::uint32_t initial_slots = 16;
 
+/// Time for the target to tell its id. A status check waits for a slot like a request.
+constexpr std::chrono::milliseconds identity_timeout{500};
+
 /// Change of the admit level that is worth a log line.
 constexpr double logged_step = 0.1;
 
@@ -19,8 +24,9 @@
 local_target::local_target(asio::io_context& context, deadline_queue& deadlines,
                            tcp::endpoint upstream, const header_dialect& names,
                            answer_limits limits, const route_levels& levels, decision_log& log)
-    : deadlines_(deadlines), client_(context, deadlines, std::move(upstream), names, limits),
-      log_(log), levels_(levels), queue_(initial_slots), names_(names)
+    : deadlines_(deadlines), client_(context, deadlines, upstream, names, limits), log_(log),
+      levels_(levels), queue_(initial_slots), names_(names), context_(context),
+      upstream_(std::move(upstream))
 {
 }
 
@@ -100,11 +106,19 @@
     if (it == calls_.end()) {
         return;
     }
+    if (identity_client_) {
+        // The target would refuse it; its answer is a few milliseconds away.
+        awaiting_identity_.push_back(ticket);
+        return;
+    }
     auto& c = it->second;
-    const upstream_request request{c.call.id,        c.call.method,      c.call.target,
-                                   c.call.host,      c.call.headers,     c.call.body,
-                                   c.call.target_id, c.caller_service,   c.call.idempotent,
-                                   c.deadline,       c.call.answer_limit};
+    const auto& expected = c.call.service == identity_source_.service.str()
+                               ? identity_.expected(c.call.target_id)
+                               : c.call.target_id;
+    const upstream_request request{c.call.id,   c.call.method,      c.call.target,
+                                   c.call.host, c.call.headers,     c.call.body,
+                                   expected,    c.caller_service,   c.call.idempotent,
+                                   c.deadline,  c.call.answer_limit};
     runs_[c.call.id] = {c.call.route, c.call.rank, c.request_deadline};
     c.exchange = client_.start(
         request, [this, ticket](upstream_result result) { on_result(ticket, std::move(result)); });
@@ -143,8 +157,74 @@
     finish(ticket, false, std::move(answer));
 }
 
+bool local_target::await_identity(std::uint64_t ticket)
+{
+    const auto it = calls_.find(ticket);
+    if (it == calls_.end()) {
+        return false;
+    }
+    auto& c = it->second;
+    identity_.refused(identity_.expected(c.call.target_id));
+    const bool can_help = !c.was_misdirected && !identity_source_.status_path.empty() &&
+                          c.call.service == identity_source_.service.str() && c.done &&
+                          boot_clock::now() < c.deadline;
+    if (!can_help) {
+        return false;
+    }
+    c.was_misdirected = true;
+    c.exchange = nullptr;
+    runs_.erase(c.call.id);
+    awaiting_identity_.push_back(ticket);
+    ask_identity();
+    return true;
+}
+
+void local_target::ask_identity()
+{
+    if (identity_client_) {
+        return;
+    }
+    identity_client_ = std::make_shared<http_get_client>(context_, upstream_);
+    identity_client_->get(identity_source_.status_path, identity_timeout,
+                          [this](const http_get_result& status) { on_identity(status); });
+}
+
+void local_target::on_identity(const http_get_result& status)
+{
+    // The handler runs inside the client.
+    const auto client = std::exchange(identity_client_, nullptr);
+    const auto id = find_header(status.headers, names_.target_id);
+    const bool is_known =
+        status.status == 200 && id && identity_source_.may_be_of_service(std::string(*id));
+    log_event("target_identity")
+        .add("status", status.status)
+        .add("target", std::string(id.value_or("")))
+        .add("used", is_known)
+        .add("waiting", awaiting_identity_.size())
+        .info();
+    if (is_known) {
+        identity_.learned(std::string(*id));
+    }
+    for (const auto ticket : std::exchange(awaiting_identity_, {})) {
+        const auto it = calls_.find(ticket);
+        if (it == calls_.end()) {
+            continue;
+        }
+        if (is_known || !it->second.was_misdirected) {
+            start(ticket);
+            continue;
+        }
+        upstream_result declined;
+        declined.outcome = call_outcome::declined;
+        on_result(ticket, std::move(declined));
+    }
+}
+
 void local_target::on_result(std::uint64_t ticket, upstream_result result)
 {
+    if (result.is_misdirected && await_identity(ticket)) {
+        return;
+    }
     answer_message answer;
     answer.outcome = static_cast<std::uint8_t>(result.outcome);
     answer.status = result.answer.status;
@@ -196,7 +276,7 @@
         return;
     }
     it->second.done = nullptr;
-    if (!it->second.call.idempotent) {
+    if (it->second.exchange && !it->second.call.idempotent) {
         return; // Stopping it would lose work that cannot be repeated.
     }
     if (it->second.exchange) {
--- a/libs/relay/src/local_target.h
+++ b/libs/relay/src/local_target.h
@@ -5,10 +5,13 @@
 #include "node_message.h"
 #include "upstream_client.h"
 
+#include "relay/http_get_client.h"
+
 #include "dispatch/admit_level.h"
 #include "dispatch/route_levels.h"
 #include "dispatch/run_queue.h"
 #include "dispatch/target_entry.h"
+#include "dispatch/target_identity.h"
 
 #include <cstdint>
 #include <functional>
@@ -16,6 +19,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace trefoil {
 
@@ -28,6 +32,15 @@
                  const header_dialect& names, answer_limits limits, const route_levels& levels,
                  decision_log& log);
 
+    /// Where the target answers status checks, and whether its id may be one of this service. Both
+    /// are needed to learn its id when it refuses requests for an earlier one.
+    struct identity_source {
+        std::string status_path;
+        service_name service;
+        std::function<bool(const std::string& id)> may_be_of_service;
+    };
+    void set_identity_source(identity_source source) { identity_source_ = std::move(source); }
+
     /// Takes over what the target publishes about itself.
     void set_entry(const target_entry& entry);
 
@@ -70,11 +83,16 @@
         mono_time deadline;
         mono_time request_deadline;
         mono_time offered;
+        /// The target refused it once as another one's.
+        bool was_misdirected = false;
     };
 
     void advance();
     void start(std::uint64_t ticket);
     void refuse(std::uint64_t ticket);
+    bool await_identity(std::uint64_t ticket);
+    void ask_identity();
+    void on_identity(const http_get_result& status);
     void on_result(std::uint64_t ticket, upstream_result result);
     void finish(std::uint64_t ticket, bool completed, answer_message answer);
     void arm_wakeup();
@@ -90,6 +108,14 @@
     /// Requests at the target, by id.
     std::unordered_map<std::string, parent_run> runs_;
     const header_dialect& names_;
+    asio::io_context& context_;
+    tcp::endpoint upstream_;
+    target_identity identity_;
+    identity_source identity_source_;
+    /// Asks the target for its id; none if no question is open.
+    std::shared_ptr<http_get_client> identity_client_;
+    /// Requests that wait for the id.
+    std::vector<std::uint64_t> awaiting_identity_;
     std::uint64_t last_ticket_ = 0;
     mono_time armed_for_ = mono_time::max();
     double logged_level_ = 1.0;
--- a/libs/relay/src/node_message.h
+++ b/libs/relay/src/node_message.h
@@ -104,9 +104,12 @@
     std::uint32_t request_extra_ms = 0;
     /// Largest answer that the sender takes, in bytes; 0 if it names none.
     std::uint64_t answer_limit = 0;
+    /// Service that the request is for.
+    std::string service;
 
     MSGPACK_DEFINE(stream, time_left_ms, route, rank, idempotent, nested, target_id, id, method,
-                   target, host, headers, body, sent_ms, mark, request_extra_ms, answer_limit)
+                   target, host, headers, body, sent_ms, mark, request_extra_ms, answer_limit,
+                   service)
 };
 
 /// How a request ended at the receiver.
--- a/libs/relay/src/peer_link.cpp
+++ b/libs/relay/src/peer_link.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace trefoil {
 
@@ -100,7 +101,7 @@
     last_used_ = boot_clock::now();
     const auto stream = ++last_stream_;
     call.stream = stream;
-    waiting_.emplace(stream, std::move(done));
+    waiting_.emplace(stream, waiting_call{std::move(done), call.idempotent});
     call.sent_ms = mono_stamp();
     // What waits for a connection can still be withdrawn without a trace.
     connected_ ? write(call) : void(unsent_.emplace(stream, std::move(call)));
@@ -171,7 +172,7 @@
         }
         const auto it = waiting_.find(answer.stream);
         if (it != waiting_.end()) {
-            const auto done = std::move(it->second);
+            const auto done = std::move(it->second.done);
             waiting_.erase(it);
             done(std::move(answer));
         }
@@ -214,8 +215,35 @@
     answer_message lost;
     lost.outcome =
         static_cast<std::uint8_t>(was_connected ? call_outcome::lost : call_outcome::unreachable);
-    for (auto& [stream, done] : std::exchange(waiting_, {})) {
-        done(lost);
+    for (auto& [stream, call] : std::exchange(waiting_, {})) {
+        call.done(lost);
+    }
+}
+
+void peer_link::on_silent()
+{
+    std::vector<peer_answer_handler> lost;
+    for (auto it = waiting_.begin(); it != waiting_.end();) {
+        if (!it->second.repeatable) {
+            ++it;
+            continue;
+        }
+        // The work stops if the peer goes on.
+        stream_->write(encode_message(node_message_kind::cancel, cancel_message{it->first}));
+        lost.push_back(std::move(it->second.done));
+        it = waiting_.erase(it);
+    }
+    log_event("peer_silent")
+        .add("peer", peer_)
+        .add("lost", lost.size())
+        .add("awaited", waiting_.size())
+        .warning();
+    parked_ = true;
+    handlers_.silent();
+    answer_message answer;
+    answer.outcome = static_cast<std::uint8_t>(call_outcome::lost);
+    for (const auto& done : lost) {
+        done(answer);
     }
 }
 
@@ -240,7 +268,13 @@
     }
     const auto now = boot_clock::now();
     const bool is_silent = now - last_received_ > silence_limit;
-    if ((connected_ && is_silent) || (!connected_ && now - opened_ > connect_timeout)) {
+    const bool must_wait =
+        std::ranges::any_of(waiting_, [](const auto& entry) { return !entry.second.repeatable; });
+    if (connected_ && is_silent && must_wait && !parked_) {
+        on_silent();
+    }
+    else if ((connected_ && is_silent && !must_wait) ||
+             (!connected_ && now - opened_ > connect_timeout)) {
         on_lost();
         return;
     }
--- a/libs/relay/src/peer_link.h
+++ b/libs/relay/src/peer_link.h
@@ -20,7 +20,10 @@
 using peer_answer_handler = std::function<void(answer_message)>;
 
 /// One connection to the node on another VM, over which all requests to its target go. Reconnects
-/// on demand. Found dead when nothing arrives for a while although something is due.
+/// on demand. Found silent when nothing arrives for a while although something is due: repeatable
+/// requests then count as lost, so that they can go elsewhere. The others may be running on a
+/// machine that only stands still, and are awaited until their deadline or the end of the
+/// connection.
 class peer_link : public std::enable_shared_from_this<peer_link> {
 public:
     struct handlers {
@@ -29,6 +32,9 @@
         state_handlers state;
         /// Bytes of an unfinished message of the peer that are held.
         std::function<void(std::size_t bytes)> held;
+        /// The connection is silent and still has requests that must not be repeated; new ones are
+        /// to use another link.
+        std::function<void()> silent;
     };
 
     peer_link(asio::io_context& context, deadline_queue& deadlines, tcp::endpoint peer,
@@ -67,6 +73,7 @@
     void on_data(boost::beast::flat_buffer& buffer);
     void handle(const struct raw_node_message& message);
     void on_lost();
+    void on_silent();
     void check();
     void schedule_check();
 
@@ -76,7 +83,11 @@
     hello_message hello_;
     handlers handlers_;
     std::shared_ptr<byte_stream> stream_;
-    std::unordered_map<std::uint32_t, peer_answer_handler> waiting_;
+    struct waiting_call {
+        peer_answer_handler done;
+        bool repeatable = false;
+    };
+    std::unordered_map<std::uint32_t, waiting_call> waiting_;
     /// Requests that wait for the connection, in order.
     std::map<std::uint32_t, call_message> unsent_;
     /// Other messages that wait for it.
@@ -88,6 +99,8 @@
     bool connected_ = false;
     bool check_scheduled_ = false;
     bool closed_ = false;
+    /// Silent, and only kept for the requests that wait.
+    bool parked_ = false;
 };
 
 } // namespace trefoil
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -89,7 +89,7 @@
 
     peer_link::handlers link_handlers()
     {
-        return {[] {}, exchange_handlers(), [](std::size_t) {}};
+        return {[] {}, exchange_handlers(), [](std::size_t) {}, [] {}};
     }
 
     state_handlers exchange_handlers()
@@ -197,6 +197,17 @@
         return exchange.received(changes);
     }
 
+    void set_identity_source(const traffic_config& config)
+    {
+        const auto path = config.status_paths.find(settings.service);
+        local.set_identity_source({path == config.status_paths.end() ? std::string() : path->second,
+                                   settings.service, [this](const std::string& id) {
+                                       // An address may be used again by another service.
+                                       const auto known = targets.find(id);
+                                       return !known || known->entry.service == settings.service;
+                                   }});
+    }
+
     bool is_closed_to_new(const relay_request& request) const
     {
         return draining && request.arrived > drain_start + settings.grace / accepting_part;
@@ -367,6 +378,7 @@
         .add("routes", config.routes.size())
         .info();
     impl_->limits = config.limits;
+    impl_->set_identity_source(config);
     impl_->forwarder.set_routes(std::make_shared<route_table>(std::move(config)));
 }
 
--- a/libs/relay/src/upstream_client.h
+++ b/libs/relay/src/upstream_client.h
@@ -37,6 +37,8 @@
 struct upstream_result {
     call_outcome outcome = call_outcome::lost;
     relay_answer answer;
+    /// The target declined it since it has another id.
+    bool is_misdirected = false;
 };
 
 /// Sends requests to the own target over kept connections, one request at a time on each. A request
--- a/libs/relay/src/upstream_exchange.cpp
+++ b/libs/relay/src/upstream_exchange.cpp
@@ -221,6 +221,7 @@
     result.answer.status = message.result_int();
     if (has_not_run || result.answer.status == 421) {
         result.outcome = call_outcome::declined;
+        result.is_misdirected = result.answer.status == 421;
         return result;
     }
     if (result.answer.status / 100 == 2 && (!has_proof || is_encoded)) {
