--- a/libs/relay/tests/relay_node_test.cpp
+++ b/libs/relay/tests/relay_node_test.cpp
@@ -143,6 +143,28 @@
     CHECK(back.target->requests().size() == 1);
 }
 
+// Guards against a connection on which the target never answers again: it must end with the
+// deadline of its request, be told truly, and carry no other request meanwhile or later.
+TEST_CASE_METHOD(two_vms_fixture, "relay_hung_connection_ends_at_the_deadline_and_carries_nothing")
+{
+    auto config = config_for("orders", false);
+    config.routes.front().timeout = 600ms;
+    publish(config, {{&back, "back"}});
+    respond = [](const auto& r) {
+        return r["trefoil-request-id"] == "hung"
+                   ? reply{"", end::silent}
+                   : reply{stand_in_target::answer(r, "done"), end::keep};
+    };
+    CHECK(ask(request_text("id-1")).body() == "done");
+    auto hung = connect(front.settings.outbound);
+    asio::write(hung, asio::buffer(request_text("hung")));
+    run_until([&] { return back.target->requests().size() == 2; });
+    CHECK(ask(request_text("id-2")).body() == "done");
+    CHECK(read_answer(hung).result_int() == 504);
+    run_until([&] { return back.target->closed() == 1; });
+    CHECK(ask(request_text("id-3")).body() == "done");
+}
+
 // Guards against a refusal that does not say when to come back.
 TEST_CASE_METHOD(two_vms_fixture, "relay_declined_request_is_refused_with_time_to_return")
 {
