--- a/libs/relay/tests/relay_fixture.h
+++ b/libs/relay/tests/relay_fixture.h
@@ -33,6 +33,8 @@
     std::vector<std::unique_ptr<vm>> vms;
     /// Memory that the nodes added from now on may use.
     std::size_t memory_bytes = relay_settings().memory_bytes;
+    /// Their time from a planned stop to the kill.
+    std::chrono::milliseconds grace = relay_settings().grace;
 
     ~relay_fixture() { context.stop(); }
 
@@ -69,6 +71,7 @@
         v->settings.ready = at(2);
         v->settings.upstream = at(3);
         v->settings.memory_bytes = memory_bytes;
+        v->settings.grace = grace;
         v->target = std::make_unique<stand_in_target>(context, at(3), std::move(respond));
         v->node = std::make_unique<relay_node>(context, v->settings);
         auto& received = v->received;
