Deliver answers to callers whole, and bound the requests of all callers together

A planned stop that began before the answer ended the process while a slow reader had a part of it. - A refusal (413) of a body that is still being sent was lost: closing a socket with unread bytes resets the connection. The connection now ends in order, and what arrives is dropped for 2 s. - A reader that pauses for more than 4 s was cut off, since the kernel's bound for lost packets applied to its full window; one that reads steadily for more than 20 s was, too, since progress was not counted. - Unfinished bodies of many callers had no bound together (24 MB with 16 MB of memory). They may take an eighth of the memory; the largest is refused as not run, with a time to return. - Requests in a row that are refused at once were parsed one inside the other: 3,000 of them needed more than 4 MB of stack. An exception of the handler of a new connection no longer closes the port.

Ruled out: requests behind one another on a connection are answered in order and each once.

--- a/libs/dispatch/tests/byte_account_test.cpp
+++ b/libs/dispatch/tests/byte_account_test.cpp
@@ -35,3 +35,17 @@
     account.set(1, 0);
     CHECK(account.total() == 0);
 }
+
+// Guards against work that was taken and is cut to make room for what arrives later.
+TEST_CASE_METHOD(byte_account_fixture, "byte_account_holders_that_may_not_be_cut_stay")
+{
+    account.set(1, 90, trefoil::byte_account::cut::never);
+    account.set(2, 20);
+    CHECK(account.to_cut() == 2);
+    account.set(2, 0);
+    account.set(1, 200, trefoil::byte_account::cut::never);
+    CHECK_FALSE(account.to_cut());
+    account.set_most(200);
+    account.set(3, 1);
+    CHECK(account.to_cut() == 3);
+}
--- a/libs/relay/src/acceptor.cpp
+++ b/libs/relay/src/acceptor.cpp
@@ -34,8 +34,8 @@
             return;
         }
         if (!error) {
+            accept(); // First, so that a failure of the handler does not close the port.
             accepted_(std::move(socket));
-            accept();
             return;
         }
         log_event("accept_failed").add("detail", error.message()).warning();
--- a/libs/relay/src/byte_stream.cpp
+++ b/libs/relay/src/byte_stream.cpp
@@ -1,9 +1,10 @@
 #include "byte_stream.h"
 
+#include "lingering_close.h"
+
 #include "base/log_event.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -19,13 +20,12 @@
 /// Bytes made room for in one read; most messages are smaller.
 constexpr std::size_t read_size = 4096;
 
-/// Time after which the kernel gives up on written bytes that the peer does not acknowledge. Longer
-/// than a few retransmissions on a lossy link.
-constexpr std::chrono::milliseconds tcp_user_timeout{4000};
-
 } // namespace
 
-byte_stream::byte_stream(tcp::socket socket) : socket_(std::move(socket)) {}
+byte_stream::byte_stream(tcp::socket socket, std::chrono::milliseconds unacknowledged)
+    : socket_(std::move(socket)), unacknowledged_(unacknowledged)
+{
+}
 
 void byte_stream::start(handlers h)
 {
@@ -33,7 +33,7 @@
     boost::system::error_code ignored; // The options only improve latency and detection.
     socket_.set_option(tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);
-    const auto timeout = static_cast<unsigned>(tcp_user_timeout.count());
+    const auto timeout = static_cast<unsigned>(unacknowledged_.count());
     setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
     read();
 }
@@ -125,9 +125,18 @@
         write_rest();
         return;
     }
+    end_write();
+}
+
+void byte_stream::end_write()
+{
     in_write_.clear();
-    if (close_when_written_) {
-        close();
+    written_ = 0;
+    if (!pending_.empty()) {
+        flush();
+    }
+    else if (close_when_written_) {
+        end_in_order();
     }
 }
 
@@ -135,7 +144,7 @@
 {
     writing_ = true;
     const auto rest = asio::buffer(in_write_) + written_;
-    asio::async_write(socket_, rest, [self = shared_from_this()](auto error, std::size_t) {
+    socket_.async_write_some(rest, [self = shared_from_this()](auto error, std::size_t count) {
         self->writing_ = false;
         if (!self->open_) {
             return;
@@ -144,13 +153,12 @@
             self->fail(error);
             return;
         }
-        self->in_write_.clear();
-        if (!self->pending_.empty()) {
-            self->flush();
-        }
-        else if (self->close_when_written_) {
-            self->close();
+        self->written_ += count;
+        if (self->written_ < self->in_write_.size()) {
+            self->write_rest();
+            return;
         }
+        self->end_write();
     });
 }
 
@@ -182,12 +190,29 @@
 void byte_stream::close_after_writes()
 {
     if (unwritten() == 0) {
-        close();
+        end_in_order();
         return;
     }
     close_when_written_ = true;
 }
 
+void byte_stream::end_in_order()
+{
+    if (!open_) {
+        return;
+    }
+    open_ = false;
+    const auto closed = std::move(handlers_.closed);
+    // The handlers may be running and own what called this, so they are released later.
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->handlers_ = {}; });
+    boost::system::error_code ignored; // Ends the read in progress.
+    socket_.cancel(ignored);
+    close_lingering(std::move(socket_));
+    if (closed) {
+        closed({});
+    }
+}
+
 void byte_stream::abort()
 {
     boost::system::error_code ignored; // The connection may not be open yet.
--- a/libs/relay/src/byte_stream.h
+++ b/libs/relay/src/byte_stream.h
@@ -4,6 +4,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -22,7 +23,12 @@
         std::function<void(boost::system::error_code)> closed;
     };
 
-    explicit byte_stream(tcp::socket socket);
+    /// Time after which the kernel gives up on written bytes that the peer does not acknowledge, or
+    /// has no room for. Longer than a few retransmissions on a lossy link.
+    static constexpr std::chrono::milliseconds default_unacknowledged{4000};
+
+    explicit byte_stream(tcp::socket socket,
+                         std::chrono::milliseconds unacknowledged = default_unacknowledged);
 
     /// Sets the handlers and starts to read. The connection must be open.
     void start(handlers h);
@@ -43,7 +49,8 @@
     /// Ends the connection now and drops what is on its way to the peer.
     void abort();
 
-    /// Ends the connection once everything queued is written.
+    /// Ends the connection once everything queued is written, so that the peer gets it even if it
+    /// is still sending. The handler `closed` is called then, without an error.
     void close_after_writes();
 
     /// Stops or resumes reading, to bound what an eager peer makes this process hold.
@@ -53,15 +60,18 @@
     bool has_unexpected_input() const;
 
     bool is_open() const noexcept { return open_; }
-    std::size_t unwritten() const noexcept { return pending_.size() + in_write_.size(); }
+    std::size_t unwritten() const noexcept { return pending_.size() + in_write_.size() - written_; }
 
 private:
     void read();
     void flush();
     void write_rest();
+    void end_write();
+    void end_in_order();
     void fail(boost::system::error_code error);
 
     tcp::socket socket_;
+    std::chrono::milliseconds unacknowledged_;
     boost::beast::flat_buffer buffer_;
     handlers handlers_;
     std::string pending_;
--- a/libs/relay/src/caller_session.cpp
+++ b/libs/relay/src/caller_session.cpp
@@ -5,6 +5,8 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 
+#include <gsl/gsl>
+
 #include <utility>
 
 namespace trefoil {
@@ -38,7 +40,8 @@
 
 caller_session::caller_session(tcp::socket socket, const header_dialect& names,
                                const caller_limits& limits)
-    : stream_(std::make_shared<byte_stream>(std::move(socket))), names_(names), limits_(limits)
+    : stream_(std::make_shared<byte_stream>(std::move(socket), unread_timeout)), names_(names),
+      limits_(limits)
 {
 }
 
@@ -52,28 +55,44 @@
                         if (std::exchange(self->busy_, false)) {
                             self->handlers_.gone(self);
                         }
+                        self->buffer_ = nullptr;
                         self->handlers_.ended(self);
                     }});
 }
 
 void caller_session::on_data(boost::beast::flat_buffer& buffer)
 {
+    if (closing_) {
+        buffer.consume(buffer.size());
+        return;
+    }
     buffer_ = &buffer;
     last_progress_ = boot_clock::now();
     if (busy_) {
         if (buffer.size() > max_read_ahead) {
             stream_->pause_reading(true);
         }
-        return;
     }
-    parse(buffer);
+    else {
+        parse_all(buffer);
+    }
+    handlers_.held(shared_from_this());
 }
 
-void caller_session::parse(boost::beast::flat_buffer& buffer)
+void caller_session::parse_all(boost::beast::flat_buffer& buffer)
 {
-    if (closing_ || buffer.size() == 0) {
+    // A request that is answered at once must not parse the next one inside its own dispatch: the
+    // depth of the stack would be the number of requests that the caller sent in a row.
+    if (std::exchange(parsing_, true)) {
         return;
     }
+    const auto done = gsl::finally([this] { parsing_ = false; });
+    while (!busy_ && !closing_ && buffer.size() > 0 && parse_one(buffer)) {
+    }
+}
+
+bool caller_session::parse_one(boost::beast::flat_buffer& buffer)
+{
     if (!parser_) {
         parser_.emplace();
         parser_->eager(true);
@@ -91,16 +110,17 @@
     }
     if (error && error != http::error::need_more) {
         refuse(error);
-        return;
+        return true;
     }
     if (parser_->is_done()) {
         dispatch();
-        return;
+        return true;
     }
     if (parser_->is_header_done() && !continue_sent_ && is_interim_wanted(parser_->get())) {
         continue_sent_ = true;
         stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
     }
+    return false;
 }
 
 void caller_session::refuse(const boost::system::error_code& error)
@@ -111,6 +131,27 @@
     answer({status_of(error), {}, error.message(), {}}, false);
 }
 
+void caller_session::refuse_unread(const relay_answer& refusal)
+{
+    if (busy_ || closing_) {
+        return;
+    }
+    parser_.reset();
+    busy_ = true;
+    is_head_ = false;
+    answer(refusal, false);
+}
+
+std::size_t caller_session::request_bytes() const
+{
+    if (closing_) {
+        return 0;
+    }
+    const auto unparsed = buffer_ != nullptr ? buffer_->size() : 0;
+    const auto parsed = parser_ ? parser_->get().body().size() : 0;
+    return taken_bytes_ + parsed + unparsed;
+}
+
 void caller_session::dispatch()
 {
     auto message = parser_->release();
@@ -131,6 +172,7 @@
     request.headers = end_to_end_headers(message, "host", names_.request_id, names_.time_left,
                                          names_.expected_target, names_.caller_service);
     request.body = std::move(message.body());
+    taken_bytes_ = request.headers.size() + request.body.size();
     handlers_.request(shared_from_this(), std::move(request));
 }
 
@@ -140,6 +182,7 @@
         return;
     }
     busy_ = false;
+    taken_bytes_ = 0;
     last_progress_ = boot_clock::now();
     const bool stays = keep && keep_ && !closing_;
     const auto reason = http::obsolete_reason(static_cast<http::status>(answer.status));
@@ -163,14 +206,18 @@
     stream_->write(std::move(text));
     if (!stays) {
         closing_ = true;
+        if (buffer_ != nullptr) {
+            buffer_->consume(buffer_->size());
+        }
+        handlers_.held(shared_from_this());
         stream_->close_after_writes();
-        handlers_.ended(shared_from_this());
         return;
     }
     stream_->pause_reading(false);
     if (buffer_ != nullptr) {
-        parse(*buffer_);
+        parse_all(*buffer_);
     }
+    handlers_.held(shared_from_this());
 }
 
 void caller_session::check_timeouts(mono_time now)
@@ -178,8 +225,12 @@
     if (!stream_->is_open()) {
         return;
     }
+    const auto unread = stream_->unwritten();
+    if (unread != std::exchange(last_unread_, unread)) {
+        last_progress_ = now;
+    }
     const auto quiet = now - last_progress_;
-    const bool is_unread = stream_->unwritten() > 0;
+    const bool is_unread = unread > 0;
     const bool is_in_headers = parser_ && !parser_->is_header_done();
     if ((is_unread && quiet > unread_timeout) ||
         (!busy_ && is_in_headers && quiet > limits_.header_timeout) ||
@@ -189,14 +240,6 @@
     }
 }
 
-void caller_session::close_when_idle()
-{
-    closing_ = true;
-    if (!busy_ && !parser_) {
-        stream_->close_after_writes();
-    }
-}
-
 void caller_session::close()
 {
     stream_->close();
--- a/libs/relay/src/caller_session.h
+++ b/libs/relay/src/caller_session.h
@@ -21,6 +21,8 @@
     struct handlers {
         /// A whole request arrived. It is answered by `answer`, once.
         std::function<void(const std::shared_ptr<caller_session>&, relay_request)> request;
+        /// The bytes of this caller's requests that are held have changed.
+        std::function<void(const std::shared_ptr<caller_session>&)> held;
         /// The caller closed the connection while its request was not answered.
         std::function<void(const std::shared_ptr<caller_session>&)> gone;
         /// The connection ended.
@@ -41,19 +43,24 @@
     /// Closes the connection if it has been idle, or unfinished or unread, for too long.
     void check_timeouts(mono_time now);
 
-    /// Closes an idle connection; a busy one ends after its answer.
-    void close_when_idle();
+    /// Refuses the request that is being read, which has not run, and ends the connection.
+    void refuse_unread(const relay_answer& answer);
 
     void close();
 
-    /// Bytes held for this caller.
+    /// Bytes of answers held for this caller.
     std::size_t held_bytes() const { return stream_->unwritten(); }
 
+    /// Bytes of requests held: of the one that is being read or answered, and of those behind it.
+    std::size_t request_bytes() const;
+
 private:
     using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void on_data(boost::beast::flat_buffer& buffer);
-    void parse(boost::beast::flat_buffer& buffer);
+    void parse_all(boost::beast::flat_buffer& buffer);
+    /// Parses until a whole request is dispatched; false if bytes are missing.
+    bool parse_one(boost::beast::flat_buffer& buffer);
     void refuse(const boost::system::error_code& error);
     void dispatch();
 
@@ -64,7 +71,12 @@
     std::optional<request_parser> parser_;
     boost::beast::flat_buffer* buffer_ = nullptr;
     mono_time last_progress_;
+    /// Bytes of answers that were not taken at the last look.
+    std::size_t last_unread_ = 0;
+    /// Of the request that is being answered.
+    std::size_t taken_bytes_ = 0;
     bool busy_ = false;
+    bool parsing_ = false;
     bool keep_ = true;
     bool closing_ = false;
     bool continue_sent_ = false;
--- /dev/null
+++ b/libs/relay/src/lingering_close.cpp
@@ -0,0 +1,70 @@
+#include "lingering_close.h"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <utility>
+
+namespace trefoil {
+
+namespace {
+
+/// Time in which the peer has to end the connection; several round trips on a lossy link.
+constexpr std::chrono::seconds longest_linger{2};
+
+/// Bytes that are dropped; several times the largest body of a caller, which mostly exceeds its
+/// bound by a small factor.
+constexpr std::size_t most_dropped = std::size_t{8} << 20U;
+
+class lingering_socket : public std::enable_shared_from_this<lingering_socket> {
+public:
+    explicit lingering_socket(tcp::socket socket)
+        : socket_(std::move(socket)), timer_(socket_.get_executor())
+    {
+    }
+
+    void start()
+    {
+        boost::system::error_code ignored; // The peer may have closed it already.
+        socket_.shutdown(tcp::socket::shutdown_send, ignored);
+        timer_.expires_after(longest_linger);
+        timer_.async_wait([self = shared_from_this()](auto) { self->close(); });
+        drop();
+    }
+
+private:
+    void drop()
+    {
+        socket_.async_read_some(asio::buffer(bytes_),
+                                [self = shared_from_this()](auto error, std::size_t count) {
+                                    self->dropped_ += count;
+                                    if (error || self->dropped_ > most_dropped) {
+                                        self->timer_.cancel();
+                                        self->close();
+                                        return;
+                                    }
+                                    self->drop();
+                                });
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored; // Closing cannot be refused.
+        socket_.close(ignored);
+    }
+
+    tcp::socket socket_;
+    asio::steady_timer timer_;
+    std::array<char, 4096> bytes_{};
+    std::size_t dropped_ = 0;
+};
+
+} // namespace
+
+void close_lingering(tcp::socket socket)
+{
+    std::make_shared<lingering_socket>(std::move(socket))->start();
+}
+
+} // namespace trefoil
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -9,12 +9,14 @@
 #include "peer_session.h"
 
 #include "base/log_event.h"
+#include "dispatch/byte_account.h"
 #include "metrics/metrics.h"
 
 #include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
+#include <unordered_map>
 #include <utility>
 
 namespace trefoil {
@@ -70,6 +72,14 @@
 /// Part of the memory that answers waiting for slow callers may take, and those for slow peers.
 constexpr std::size_t held_part = 4;
 
+/// Part of the memory that the requests of all callers may take. A request exists twice as it is
+/// passed on.
+constexpr std::size_t request_part = 8;
+
+/// Time to return for a request that the memory has no room for. The bodies that take it are read
+/// or given up within their callers' patience, which is seconds.
+constexpr std::chrono::milliseconds memory_return{1000};
+
 } // namespace
 
 class relay_node::impl {
@@ -105,6 +115,8 @@
         const auto session =
             std::make_shared<caller_session>(std::move(socket), settings.headers, limits);
         callers.insert(session);
+        const auto number = ++last_caller;
+        callers_by_number[number] = session;
         session->start({// NOLINTNEXTLINE(performance-unnecessary-value-param)
                         [this](const auto& s, relay_request request) {
                             if (is_closed_to_new(request)) {
@@ -112,8 +124,36 @@
                             }
                             forwarder.handle(s, std::move(request));
                         },
+                        [this, number](const auto& s) { note_request(number, *s); },
                         [this](const auto& s) { forwarder.caller_gone(s); },
-                        [this](const auto& s) { callers.erase(s); }});
+                        [this, number](const auto& s) {
+                            request_bytes.set(number, 0);
+                            callers_by_number.erase(number);
+                            callers.erase(s);
+                        }});
+    }
+
+    /// The largest request that a caller may send passes even if the memory is small.
+    void bound_requests()
+    {
+        request_bytes.set_most(std::max(settings.memory_bytes / request_part,
+                                        limits.max_header_bytes + limits.max_body_bytes));
+    }
+
+    /// Counts what the caller's requests take. Those that are being read may be refused to make
+    /// room, since they have not run.
+    void note_request(byte_account::holder number, const caller_session& session)
+    {
+        request_bytes.set(number, session.request_bytes(),
+                          session.is_busy() ? byte_account::cut::never
+                                            : byte_account::cut::allowed);
+        while (const auto largest = request_bytes.to_cut()) {
+            request_bytes.set(*largest, 0);
+            if (const auto caller = callers_by_number[*largest].lock()) {
+                log_event("request_cut").add("reason", "requests take too much memory").warning();
+                caller->refuse_unread(not_run_answer(memory_return));
+            }
+        }
     }
 
     void accept_probe(tcp::socket socket)
@@ -124,7 +164,8 @@
         session->start({[this](const auto& s, const relay_request& request) {
                             s->answer(page(request.target), true);
                         },
-                        [](const auto&) {}, [this](const auto& s) { probes.erase(s); }});
+                        [](const auto&) {}, [](const auto&) {},
+                        [this](const auto& s) { probes.erase(s); }});
     }
 
     /// Pages for the platform and operators.
@@ -320,6 +361,9 @@
     call_forwarder forwarder;
     peer_state_exchange exchange;
     std::set<std::shared_ptr<caller_session>> callers;
+    byte_account request_bytes{settings.memory_bytes / request_part};
+    std::unordered_map<byte_account::holder, std::weak_ptr<caller_session>> callers_by_number;
+    byte_account::holder last_caller = 0;
     std::set<std::shared_ptr<caller_session>> probes;
     std::set<std::shared_ptr<peer_session>> peers;
     acceptor outbound;
@@ -378,6 +422,7 @@
         .add("routes", config.routes.size())
         .info();
     impl_->limits = config.limits;
+    impl_->bound_requests();
     impl_->set_identity_source(config);
     impl_->forwarder.set_routes(std::make_shared<route_table>(std::move(config)));
 }
