Serve the control port and the stand-in platform with the own listener

The node's control port was closed in the same way at each planned stop.

Both now use call_listener, which has limits as options and counts requests until their answers are written.

Two faults of call_listener, each with a test that failed first: an exception of a handler left its connection open, so that the caller waited until its deadline; and a planned stop of the node did not wait for answers that were being written.

--- a/apps/stand_in_platform/core/stand_in_platform.cpp
+++ b/apps/stand_in_platform/core/stand_in_platform.cpp
@@ -2,22 +2,23 @@
 
 #include "base/log_event.h"
 #include "base/time.h"
+#include "call_io/call_listener.h"
+#include "call_io/io_threads.h"
 #include "call_rate.h"
-#include "control/control_threads.h"
-#include "control/free_port.h"
 #include "platform_mode.h"
 #include "published_file.h"
 
-#include <cpprest/http_listener.h>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <charconv>
-#include <condition_variable>
 #include <fstream>
 #include <iterator>
 #include <mutex>
 #include <optional>
-#include <stop_token>
+#include <set>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -26,55 +27,47 @@
 
 namespace {
 
+namespace http = boost::beast::http;
 using std::chrono::milliseconds;
-using web::http::http_request;
-using web::http::http_response;
-using web::http::status_codes;
-using web::http::experimental::listener::http_listener;
 
-constexpr int port_attempts = 20;
 constexpr std::uint64_t longest_wait_ms = 60'000;
 
-/// Number in the query; 0 if absent, empty if malformed.
-std::optional<std::uint64_t> query_number(const web::uri& uri, const char* key)
+/// Number of this name in the query; 0 if absent, empty if malformed.
+std::optional<std::uint64_t> query_number(std::string_view query, std::string_view key)
 {
-    const auto query = web::uri::split_query(uri.query());
-    const auto it = query.find(key);
-    if (it == query.end()) {
-        return 0;
-    }
-    std::uint64_t number = 0;
-    const auto* const end = it->second.data() + it->second.size();
-    const auto parsed = std::from_chars(it->second.data(), end, number);
-    if (parsed.ec != std::errc() || parsed.ptr != end) {
-        return std::nullopt;
+    while (!query.empty()) {
+        const auto end = std::min(query.find('&'), query.size());
+        const auto field = query.substr(0, end);
+        query.remove_prefix(std::min(end + 1, query.size()));
+        const auto middle = field.find('=');
+        if (middle == std::string_view::npos || field.substr(0, middle) != key) {
+            continue;
+        }
+        const auto text = field.substr(middle + 1);
+        std::uint64_t number = 0;
+        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+            return std::nullopt;
+        }
+        return number;
     }
-    return number;
+    return 0;
 }
 
-struct watch {
-    http_request request;
-    const published_file* file = nullptr;
-    std::uint64_t after = 0;
-    mono_time until;
-};
-
-struct delayed_answer {
-    http_request request;
-    http_response answer;
-    mono_time at;
-};
-
-http_response plain(web::http::status_code status)
+call_response plain(http::status status)
 {
-    return http_response(status);
+    call_response answer(status, 11);
+    answer.set(http::field::content_length, "0");
+    return answer;
 }
 
-http_response value_answer(const published_file& file)
+call_response value_answer(const published_file& file)
 {
-    http_response answer(status_codes::OK);
-    answer.headers().add("version", std::to_string(file.version()));
-    answer.set_body(file.text(), "application/octet-stream");
+    call_response answer(http::status::ok, 11);
+    answer.set("version", std::to_string(file.version()));
+    answer.set(http::field::content_type, "application/octet-stream");
+    answer.body() = file.text();
+    answer.prepare_payload();
     return answer;
 }
 
@@ -89,200 +82,213 @@
 public:
     explicit impl(stand_in_platform_options options)
         : options_(std::move(options)), config_(options_.config_file, read_bundle_version),
-          list_(options_.list_file, read_list_revision), rate_(options_.calls_per_second)
+          list_(options_.list_file, read_list_revision), rate_(options_.calls_per_second),
+          reservation_(threads_.context(0)), tick_(threads_.context(0))
     {
-        start_control_threads();
         refresh_files();
-        open_first();
-        ticker_ = std::jthread([this](const std::stop_token& stop) { run(stop); });
+        try {
+            reserve();
+            open();
+        }
+        catch (const boost::system::system_error& e) {
+            throw platform_port_unavailable(e.what());
+        }
+        schedule_tick();
+        threads_.start();
     }
 
-    ~impl()
-    {
-        ticker_.request_stop();
-        ticker_.join();
-        close();
-    }
+    ~impl() { threads_.stop(); }
 
     impl(const impl&) = delete;
     impl& operator=(const impl&) = delete;
 
-    std::uint16_t port() const noexcept { return port_; }
+    std::uint16_t port() const { return reservation_.local_endpoint().port(); }
 
     platform_stats stats() const
     {
-        const std::lock_guard lock(mutex_);
-        auto stats = stats_;
-        stats.peak_per_second = rate_.peak();
-        stats.waiting = watches_.size();
-        return stats;
+        const std::lock_guard lock(stats_mutex_);
+        return stats_;
     }
 
 private:
-    void open_first()
+    /// Binds the port without listening. While the platform is closed, connections are refused and
+    /// no other process gets the port.
+    void reserve()
     {
-        for (int i = 1;; ++i) {
-            port_ = options_.port != 0 ? options_.port : find_free_port(options_.address);
-            try {
-                open();
-                return;
-            }
-            catch (const std::exception& e) {
-                if (options_.port != 0 || i == port_attempts) {
-                    throw platform_port_unavailable(e.what());
-                }
-            }
-        }
+        const tcp::endpoint local(asio::ip::make_address(options_.address), options_.port);
+        reservation_.open(local.protocol());
+        reservation_.set_option(tcp::acceptor::reuse_address(true));
+        reservation_.bind(local);
     }
 
     void open()
     {
-        listener_ = http_listener(
-            web::uri("http://" + options_.address + ":" + std::to_string(port_) + "/"));
-        listener_.support([this](const http_request& request) { serve(request); });
-        listener_.open().wait();
+        listeners_.push_back(std::make_unique<call_listener>(
+            threads_.contexts(), reservation_.local_endpoint(),
+            [this](call_request request, std::size_t /*shard*/,
+                   const std::shared_ptr<cancel_token>& /*cancel*/) {
+                return serve(std::move(request));
+            }));
+        listeners_.back()->start();
         is_open_ = true;
     }
 
-    /// Answers what is waiting first, since closing waits for open requests.
     void close()
     {
-        if (!is_open_) {
-            return;
-        }
+        // The closed listener stays until the end, since it must outlive the thread.
+        listeners_.back()->close();
         is_open_ = false;
-        std::vector<watch> waiting;
-        std::vector<delayed_answer> delayed;
-        {
-            const std::lock_guard lock(mutex_);
-            mode_.availability = platform_availability::closed;
-            waiting.swap(watches_);
-            delayed.swap(delayed_);
-        }
-        for (const auto& each : waiting) {
-            send(each.request, plain(status_codes::ServiceUnavailable));
+    }
+
+    asio::awaitable<call_response> serve(call_request request)
+    {
+        const std::string_view target(request.target().data(), request.target().size());
+        const auto path = target.substr(0, target.find('?'));
+        const auto query = target.substr(std::min(path.size() + 1, target.size()));
+        if (request.method() != http::verb::get) {
+            co_return plain(http::status::method_not_allowed);
         }
-        for (const auto& each : delayed) {
-            send(each.request, plain(status_codes::ServiceUnavailable));
+        if (path == "/stats") {
+            co_return stats_answer();
         }
-        try {
-            listener_.close().wait();
+        if (path == "/v1/values/config") {
+            co_return co_await serve_value(query, config_, &platform_stats::config_calls);
         }
-        catch (const std::exception& e) {
-            log_event("platform_port_close_failed").add("why", e.what()).warning();
+        if (path == "/v1/vms") {
+            co_return co_await serve_value(query, list_, &platform_stats::list_calls);
         }
+        co_return plain(http::status::not_found);
     }
 
-    void serve(const http_request& request)
+    asio::awaitable<call_response> serve_value(std::string_view query, const published_file& file,
+                                               std::uint64_t platform_stats::*counter)
     {
-        const auto path = request.relative_uri().path();
-        if (request.method() != web::http::methods::GET) {
-            send(request, plain(status_codes::MethodNotAllowed));
+        const auto after = query_number(query, "after");
+        const auto wait_ms = query_number(query, "wait_ms");
+        const auto now = boot_clock::now();
+        if (!count_call(counter, now)) {
+            co_return plain(http::status::too_many_requests);
         }
-        else if (path == "/stats") {
-            send_stats(request);
+        if (is_refusing()) {
+            co_return refuse();
         }
-        else if (path == "/v1/values/config") {
-            serve_value(request, config_, &platform_stats::config_calls);
+        if (!after || !wait_ms || *wait_ms > longest_wait_ms) {
+            co_return plain(http::status::bad_request);
         }
-        else if (path == "/v1/vms") {
-            serve_value(request, list_, &platform_stats::list_calls);
+        if (file.version() <= *after && *wait_ms > 0) {
+            co_await wait_for_change(file, *after, milliseconds(*wait_ms));
+            if (is_refusing()) {
+                co_return plain(http::status::service_unavailable);
+            }
         }
-        else {
-            send(request, plain(status_codes::NotFound));
+        // What is answered is decided before the delay.
+        auto answer =
+            file.version() > *after ? value_answer(file) : plain(http::status::not_modified);
+        if (mode_.delay > milliseconds::zero()) {
+            co_await pause(mode_.delay);
         }
+        co_return answer;
     }
 
-    void serve_value(const http_request& request, const published_file& file,
-                     std::uint64_t platform_stats::*counter)
+    /// False: the call is beyond the rate.
+    bool count_call(std::uint64_t platform_stats::*counter, mono_time now)
     {
-        const auto after = query_number(request.relative_uri(), "after");
-        const auto wait_ms = query_number(request.relative_uri(), "wait_ms");
-        const auto now = boot_clock::now();
-        const std::lock_guard lock(mutex_);
+        const std::lock_guard lock(stats_mutex_);
         ++stats_.calls;
         ++(stats_.*counter);
-        if (!rate_.admit(now)) {
-            ++stats_.over_rate;
-            send(request, plain(status_codes::TooManyRequests));
-        }
-        else if (mode_.availability != platform_availability::up) {
-            ++stats_.refused;
-            send(request, plain(status_codes::ServiceUnavailable));
-        }
-        else if (!after || !wait_ms || *wait_ms > longest_wait_ms) {
-            send(request, plain(status_codes::BadRequest));
-        }
-        else if (file.version() > *after) {
-            send_after_delay(request, value_answer(file), now);
-        }
-        else if (*wait_ms == 0) {
-            send_after_delay(request, plain(status_codes::NotModified), now);
-        }
-        else {
-            watches_.push_back({request, &file, *after, now + milliseconds(*wait_ms)});
-        }
+        const bool is_admitted = rate_.admit(now);
+        stats_.over_rate += is_admitted ? 0U : 1U;
+        stats_.peak_per_second = rate_.peak();
+        return is_admitted;
+    }
+
+    bool is_refusing() const { return mode_.availability != platform_availability::up; }
+
+    call_response refuse()
+    {
+        const std::lock_guard lock(stats_mutex_);
+        ++stats_.refused;
+        return plain(http::status::service_unavailable);
     }
 
-    void send_stats(const http_request& request) const
+    call_response stats_answer() const
     {
         const auto now = stats();
-        auto json = web::json::value::object();
-        json["calls"] = now.calls;
-        json["config_calls"] = now.config_calls;
-        json["list_calls"] = now.list_calls;
-        json["over_rate"] = now.over_rate;
-        json["refused"] = now.refused;
-        json["peak_per_second"] = now.peak_per_second;
-        json["waiting"] = now.waiting;
-        http_response answer(status_codes::OK);
-        answer.set_body(json);
-        send(request, answer);
+        std::string json;
+        const auto add = [&](const char* name, std::uint64_t value) {
+            json += json.empty() ? "{" : ",";
+            json += '"' + std::string(name) + "\":" + std::to_string(value);
+        };
+        add("calls", now.calls);
+        add("config_calls", now.config_calls);
+        add("list_calls", now.list_calls);
+        add("over_rate", now.over_rate);
+        add("refused", now.refused);
+        add("peak_per_second", now.peak_per_second);
+        add("waiting", now.waiting);
+        call_response answer(http::status::ok, 11);
+        answer.set(http::field::content_type, "application/json");
+        answer.body() = json + '}';
+        answer.prepare_payload();
+        return answer;
     }
 
-    /// Called with the lock held.
-    void send_after_delay(const http_request& request, const http_response& answer, mono_time now)
+    asio::awaitable<void> pause(milliseconds time)
     {
-        if (mode_.delay > milliseconds::zero()) {
-            delayed_.push_back({request, answer, now + mode_.delay});
-            return;
+        asio::steady_timer timer(threads_.context(0), time);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
+    /// Returns when there is a newer value, calls are refused, or the time has passed.
+    asio::awaitable<void> wait_for_change(const published_file& file, std::uint64_t after,
+                                          milliseconds time)
+    {
+        asio::steady_timer timer(threads_.context(0), time);
+        waiting_.insert(&timer);
+        count_waiting();
+        boost::system::error_code error;
+        const auto end = timer.expiry();
+        // A cancelled wait means that something has changed.
+        while (file.version() <= after && !is_refusing() &&
+               std::chrono::steady_clock::now() < end) {
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
         }
-        send(request, answer);
+        waiting_.erase(&timer);
+        count_waiting();
     }
 
-    static void send(const http_request& request, const http_response& answer)
+    void count_waiting()
     {
-        request.reply(answer).then([](const pplx::task<void>& sent) {
-            try {
-                sent.get();
-            }
-            catch (const std::exception&) {
-                // The reader is gone.
-                return;
+        const std::lock_guard lock(stats_mutex_);
+        stats_.waiting = waiting_.size();
+    }
+
+    void schedule_tick()
+    {
+        tick_.expires_after(options_.poll);
+        tick_.async_wait([this](auto error) {
+            if (!error) {
+                tick();
+                schedule_tick();
             }
         });
     }
 
-    void run(const std::stop_token& stop)
+    void tick()
     {
-        std::unique_lock lock(tick_mutex_);
-        while (!stop.stop_requested()) {
-            // Interrupted only by the request to stop.
-            tick_.wait_for(lock, stop, options_.poll, [] { return false; });
-            const auto mode = read_mode();
-            {
-                const std::lock_guard state(mutex_);
-                mode_ = mode;
-                refresh_files();
-                answer_due(boot_clock::now());
+        const auto mode = read_mode();
+        const bool is_mode_new = mode != std::exchange(mode_, mode);
+        if (refresh_files() || is_mode_new) {
+            for (auto* const timer : waiting_) {
+                timer->cancel();
             }
-            apply_availability(mode);
         }
+        apply_availability();
     }
 
-    void apply_availability(const platform_mode& mode)
+    void apply_availability()
     {
-        const bool should_be_open = mode.availability != platform_availability::closed;
+        const bool should_be_open = mode_.availability != platform_availability::closed;
         try {
             if (is_open_ && !should_be_open) {
                 close();
@@ -291,7 +297,7 @@
                 open();
             }
         }
-        catch (const std::exception& e) {
+        catch (const boost::system::system_error& e) {
             log_event("platform_port_open_failed").add("why", e.what()).warning();
         }
     }
@@ -313,62 +319,36 @@
         return last_mode_;
     }
 
-    void refresh_files()
-    {
-        if (!mode_.stale) {
-            config_.refresh();
-            list_.refresh();
-        }
-    }
-
-    /// Called with the lock held.
-    void answer_due(mono_time now)
+    /// True: there is a new value.
+    bool refresh_files()
     {
-        const bool is_up = mode_.availability == platform_availability::up;
-        std::erase_if(watches_, [&](const watch& each) {
-            if (!is_up) {
-                send(each.request, plain(status_codes::ServiceUnavailable));
-                return true;
-            }
-            if (each.file->version() > each.after) {
-                send_after_delay(each.request, value_answer(*each.file), now);
-                return true;
-            }
-            if (now >= each.until) {
-                send_after_delay(each.request, plain(status_codes::NotModified), now);
-                return true;
-            }
+        if (mode_.stale) {
             return false;
-        });
-        std::erase_if(delayed_, [&](const delayed_answer& each) {
-            if (now < each.at) {
-                return false;
-            }
-            send(each.request, each.answer);
-            return true;
-        });
+        }
+        const bool is_config_new = config_.refresh();
+        return list_.refresh() || is_config_new;
     }
 
     const stand_in_platform_options options_;
-    std::uint16_t port_ = 0;
-    http_listener listener_;
-    /// Used by the constructor, the ticker and, once that has ended, the destructor.
     bool is_open_ = false;
 
-    mutable std::mutex mutex_;
+    // Used on the thread only, as all below but the counts.
     published_file config_;
     published_file list_;
     platform_mode mode_;
+    platform_mode last_mode_;
+    std::string last_bad_mode_;
     call_rate rate_;
+
+    mutable std::mutex stats_mutex_;
     platform_stats stats_;
-    std::vector<watch> watches_;
-    std::vector<delayed_answer> delayed_;
 
-    platform_mode last_mode_;
-    std::string last_bad_mode_;
-    std::mutex tick_mutex_;
-    std::condition_variable_any tick_;
-    std::jthread ticker_;
+    io_threads threads_{1};
+    tcp::acceptor reservation_;
+    asio::steady_timer tick_;
+    /// Timers of the watches that wait, on the frames of their coroutines.
+    std::set<asio::steady_timer*> waiting_;
+    std::vector<std::unique_ptr<call_listener>> listeners_;
 };
 
 stand_in_platform::stand_in_platform(stand_in_platform_options options)
--- a/libs/base/include/base/time.h
+++ b/libs/base/include/base/time.h
@@ -24,10 +24,6 @@
 /// process have a meaning.
 std::uint64_t mono_stamp() noexcept;
 
-/// The clock in milliseconds, as a time stamp for messages. Only differences of stamps of one
-/// process have a meaning.
-std::uint64_t mono_stamp() noexcept;
-
 /// Wall-clock time in milliseconds since the Unix epoch, as carried by request ids.
 using wall_time = std::chrono::sys_time<std::chrono::milliseconds>;
 
--- a/libs/call_io/src/call_listener.cpp
+++ b/libs/call_io/src/call_listener.cpp
@@ -1,9 +1,8 @@
 #include "call_io/call_listener.h"
 
-#include "wire/call_headers.h"
+#include "base/log_event.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -13,12 +12,16 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <gsl/gsl>
+
 #include <sys/socket.h>
 
 #include <array>
 #include <atomic>
 #include <cerrno>
 #include <chrono>
+#include <exception>
+#include <typeinfo>
 
 namespace trefoil {
 
@@ -27,7 +30,10 @@
 
 struct listener_state {
     call_handler handler;
+    call_listener_limits limits;
     std::atomic<bool> closing = false;
+    std::atomic<std::size_t> in_flight = 0;
+    std::atomic<std::uint64_t> refused = 0;
 };
 
 namespace {
@@ -71,13 +77,17 @@
     asio::awaitable<void> run()
     {
         const auto self = shared_from_this();
+        // Also after an exception: the caller must not wait for an answer that never comes.
+        const auto ended = gsl::finally([this] {
+            boost::system::error_code ignored; // The peer may have closed it already.
+            stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+            stream_.socket().close(ignored);
+        });
         stream_.socket().set_option(tcp::no_delay(true));
         bool keep = true;
         while (keep) {
             keep = co_await serve_one();
         }
-        boost::system::error_code ignored;
-        stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
     }
 
 private:
@@ -85,8 +95,8 @@
     {
         boost::system::error_code error;
         http::request_parser<http::string_body> parser;
-        parser.header_limit(call_headers::max_header_bytes);
-        parser.body_limit(call_headers::max_body_bytes);
+        parser.header_limit(state_->limits.max_header_bytes);
+        parser.body_limit(state_->limits.max_body_bytes);
         if (buffer_.size() == 0) {
             stream_.expires_never();
             co_await stream_.socket().async_wait(tcp::socket::wait_read,
@@ -98,6 +108,8 @@
         if (error) {
             co_return co_await answer_bad_request(error);
         }
+        ++state_->in_flight;
+        const auto ended = gsl::finally([this] { --state_->in_flight; });
         auto request = parser.release();
         const bool keep = request.keep_alive() && !state_->closing;
         auto cancel = std::make_shared<cancel_token>();
@@ -117,6 +129,7 @@
             error.category() == make_error_code(http::error::bad_method).category() &&
             error != http::error::end_of_stream && error != http::error::partial_message;
         if (is_parse_error) {
+            ++state_->refused;
             auto response = error_response(status_of(error), error.message());
             co_await write(response);
             co_await discard_rest();
@@ -172,14 +185,32 @@
     std::shared_ptr<listener_state> state_;
 };
 
+/// What one peer sent ends its connection, not the process.
+void log_failure(const std::exception_ptr& failure)
+{
+    if (!failure) {
+        return;
+    }
+    try {
+        std::rethrow_exception(failure);
+    }
+    catch (const std::exception& e) {
+        log_event("connection_failed")
+            .add("error", typeid(e).name())
+            .add("detail", e.what())
+            .error();
+    }
+}
+
 } // namespace
 
 call_listener::call_listener(std::vector<asio::io_context*> shards, const tcp::endpoint& local,
-                             call_handler handler)
+                             call_handler handler, call_listener_limits limits)
     : shards_(std::move(shards)), acceptor_(*shards_.front()),
       state_(std::make_shared<listener_state>())
 {
     state_->handler = std::move(handler);
+    state_->limits = limits;
     acceptor_.open(local.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(local);
@@ -188,7 +219,17 @@
 
 void call_listener::start()
 {
-    asio::co_spawn(*shards_.front(), accept_loop(), asio::detached);
+    asio::co_spawn(*shards_.front(), accept_loop(), log_failure);
+}
+
+std::size_t call_listener::in_flight() const
+{
+    return state_->in_flight;
+}
+
+std::uint64_t call_listener::refused() const
+{
+    return state_->refused;
 }
 
 void call_listener::close()
@@ -221,7 +262,7 @@
         // The function object keeps the connection alive; a started coroutine alone would not, as
         // it begins on another thread after this reference has gone.
         asio::co_spawn(
-            *shards_[shard], [connection] { return connection->run(); }, asio::detached);
+            *shards_[shard], [connection] { return connection->run(); }, log_failure);
     }
 }
 
--- a/libs/call_io/tests/call_io_test.cpp
+++ b/libs/call_io/tests/call_io_test.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
@@ -18,6 +19,8 @@
 
 #include <array>
 #include <atomic>
+#include <stdexcept>
+#include <thread>
 
 using namespace std::chrono_literals;
 using namespace trefoil;
@@ -157,6 +160,8 @@
 
 /// A client and a listener with two shards.
 struct listener_fixture : client_fixture {
+    /// More than the buffers of a loopback connection hold.
+    const std::string large_body = std::string(std::size_t{12} << 20U, 'x');
     std::array<std::atomic<std::size_t>, 2> handled{};
     std::atomic<bool> cancelled = false;
     io_threads threads{2};
@@ -192,7 +197,10 @@
         cancelled.notify_all();
         call_response response(http::status::ok, 11);
         set_header(response, call_headers::request_id, *header(request, call_headers::request_id));
-        response.body() = request.body();
+        if (request.body() == "fail") {
+            throw std::runtime_error("fault in a handler");
+        }
+        response.body() = request.body() == "large" ? large_body : request.body();
         response.prepare_payload();
         co_return response;
     }
@@ -209,6 +217,35 @@
     REQUIRE(cancelled);
 }
 
+// Guards against a planned stop that ends the process while an answer is being written.
+TEST_CASE_METHOD(listener_fixture, "listener_request_is_in_flight_until_its_answer_is_written")
+{
+    http::write(client, make_request("a", "large"));
+    char first = 0;
+    asio::read(client, asio::buffer(&first, 1));
+    REQUIRE(listener.in_flight() == 1);
+    std::string rest;
+    http::write(client, make_request("b", "wait"));
+    asio::read(client, asio::dynamic_buffer(rest), asio::transfer_at_least(large_body.size()));
+    // The second request is being handled only after the first answer was written.
+    while (handled[0] + handled[1] < 2) {
+        std::this_thread::yield();
+    }
+    REQUIRE(listener.in_flight() == 1);
+    client.close();
+    while (listener.in_flight() > 0) {
+        std::this_thread::yield();
+    }
+}
+
+// Guards against an unexpected error in one request that ends the process or the port.
+TEST_CASE_METHOD(listener_fixture, "listener_failing_handler_ends_its_connection_only")
+{
+    REQUIRE(send(server, "fail").status == exchange_status::lost);
+    REQUIRE(send(server, "later").status == exchange_status::answered);
+    REQUIRE(listener.in_flight() == 0);
+}
+
 // Guards against oversized requests that reach an upstream, and against a connection that is reset
 // before its caller, still writing, has read why.
 TEST_CASE_METHOD(listener_fixture, "listener_oversized_request_gets_4xx_without_a_handler")
--- a/libs/control/include/control/control_server.h
+++ b/libs/control/include/control/control_server.h
@@ -17,9 +17,8 @@
                              const std::string& detail);
 };
 
-/// What the control port answers with. Handlers run on the threads of the pool, several at once,
-/// and must not wait for a peer_client or platform_client, whose input and output use the same
-/// threads. An exception from a handler becomes status 500.
+/// What the control port answers with. Handlers run on the port's threads, two at once. An
+/// exception from a handler becomes status 500.
 struct control_handlers {
     /// `POST /rpc`: body of the request, returns the body of the answer (see rpc_server::handle).
     std::function<std::string(const std::string& body)> rpc = {};
@@ -40,7 +39,7 @@
 };
 
 /// The node's control port, open from construction to destruction. The destructor waits for the
-/// handlers that are running.
+/// handlers that are running, and up to a second for their answers to be written.
 class control_server {
 public:
     /// Throws control_port_unavailable.
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -1,93 +1,66 @@
 #include "control/control_server.h"
 
 #include "base/log_event.h"
-#include "control/control_threads.h"
-#include "control/free_port.h"
-
-#include <cpprest/http_listener.h>
+#include "call_io/call_listener.h"
+#include "call_io/io_threads.h"
 
+#include <algorithm>
 #include <atomic>
 #include <charconv>
-#include <condition_variable>
+#include <chrono>
 #include <exception>
-#include <memory>
-#include <mutex>
 #include <optional>
+#include <string_view>
+#include <thread>
 #include <utility>
-#include <vector>
 
 namespace trefoil {
 
 namespace {
 
-using web::http::http_request;
-using web::http::methods;
-using web::http::status_codes;
-using web::http::experimental::listener::http_listener;
+namespace http = boost::beast::http;
 
 constexpr const char* json_type = "application/json";
 constexpr const char* text_type = "text/plain; version=0.0.4";
 
-/// Tries at finding a free port; another process may take it between the search and the use.
-constexpr int port_attempts = 20;
+/// Handlers that run at once. Most requests are pages for operators, and messages of peers, which
+/// are a few in a second.
+constexpr std::size_t handler_threads = 2;
+
+/// Headers of operators' programs and of peers.
+constexpr std::size_t max_header_bytes = std::size_t{8} * 1024;
+
+/// Time for the last answers to be written at the end.
+constexpr std::chrono::seconds longest_end{1};
+constexpr std::chrono::milliseconds end_check_interval{1};
 
-std::string base_uri(const std::string& address, std::uint16_t port)
+std::string_view view_of(boost::beast::string_view text)
 {
-    const bool is_v6 = address.find(':') != std::string::npos;
-    const auto host = is_v6 ? "[" + address + "]" : address;
-    return "http://" + host + ":" + std::to_string(port) + "/";
+    return {text.data(), text.size()};
 }
 
-std::optional<std::uint64_t> after_parameter(const web::uri& uri)
+/// Number in the query `after=N`; 0 if absent, empty if malformed.
+std::optional<std::uint64_t> after_parameter(std::string_view query)
 {
-    const auto query = web::uri::split_query(uri.query());
-    const auto it = query.find("after");
-    if (it == query.end()) {
-        return 0;
+    constexpr std::string_view key = "after=";
+    while (!query.empty()) {
+        const auto end = std::min(query.find('&'), query.size());
+        const auto field = query.substr(0, end);
+        query.remove_prefix(std::min(end + 1, query.size()));
+        if (!field.starts_with(key)) {
+            continue;
+        }
+        const auto text = field.substr(key.size());
+        std::uint64_t number = 0;
+        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+            return std::nullopt;
+        }
+        return number;
     }
-    std::uint64_t number = 0;
-    const auto* const end = it->second.data() + it->second.size();
-    const auto parsed = std::from_chars(it->second.data(), end, number);
-    if (parsed.ec != std::errc() || parsed.ptr != end) {
-        return std::nullopt;
-    }
-    return number;
+    return 0;
 }
 
-/// Counts requests from their arrival to the end of their handler.
-class running_requests {
-public:
-    /// Held while a request runs.
-    using ticket = std::shared_ptr<void>;
-
-    ticket enter()
-    {
-        const std::lock_guard lock(mutex_);
-        ++count_;
-        return {nullptr, [this](void*) { leave(); }};
-    }
-
-    void wait_for_none()
-    {
-        std::unique_lock lock(mutex_);
-        none_.wait(lock, [&] { return count_ == 0; });
-    }
-
-private:
-    void leave()
-    {
-        const std::lock_guard lock(mutex_);
-        --count_;
-        if (count_ == 0) {
-            none_.notify_all();
-        }
-    }
-
-    std::mutex mutex_;
-    std::condition_variable none_;
-    std::size_t count_ = 0;
-};
-
 } // namespace
 
 control_port_unavailable::control_port_unavailable(const std::string& address, std::uint16_t port,
@@ -99,153 +72,99 @@
 class control_server::impl {
 public:
     impl(control_server_options options, control_handlers handlers)
-        : options_(std::move(options)), handlers_(std::move(handlers))
+        : handlers_(std::move(handlers)), threads_(handler_threads)
     {
-        start_control_threads();
-        if (options_.port != 0) {
-            open(options_.port);
-            return;
-        }
-        for (int i = 1;; ++i) {
-            const auto free = find_free_port(options_.address);
-            try {
-                open(free);
-                return;
-            }
-            catch (const control_port_unavailable&) {
-                if (free == 0 || i == port_attempts) {
-                    throw;
-                }
-            }
-        }
+        try {
+            const tcp::endpoint local(asio::ip::make_address(options.address), options.port);
+            listener_.emplace(
+                threads_.contexts(), local,
+                [this](call_request request, std::size_t /*shard*/,
+                       const std::shared_ptr<cancel_token>& /*cancel*/) {
+                    return serve(std::move(request));
+                },
+                call_listener_limits{max_header_bytes, options.largest_request});
+        }
+        catch (const boost::system::system_error& e) {
+            throw control_port_unavailable(options.address, options.port, e.what());
+        }
+        listener_->start();
+        threads_.start();
     }
 
     ~impl()
     {
-        try {
-            listener_.close().wait();
-        }
-        catch (const std::exception& e) {
-            log_event("control_port_close_failed").add("why", e.what()).warning();
+        listener_->close();
+        const auto end = std::chrono::steady_clock::now() + longest_end;
+        while (listener_->in_flight() > 0 && std::chrono::steady_clock::now() < end) {
+            std::this_thread::sleep_for(end_check_interval);
         }
-        running_.wait_for_none();
+        threads_.stop();
     }
 
     impl(const impl&) = delete;
     impl& operator=(const impl&) = delete;
 
-    std::uint16_t port() const noexcept { return port_; }
-    std::uint64_t refused() const noexcept { return refused_; }
+    std::uint16_t port() const { return listener_->port(); }
+    std::uint64_t refused() const { return refused_ + listener_->refused(); }
 
 private:
-    void open(std::uint16_t port)
+    asio::awaitable<call_response> serve(call_request request)
     {
-        try {
-            listener_ = http_listener(web::uri(base_uri(options_.address, port)));
-            listener_.support([this](const http_request& request) { serve(request); });
-            listener_.open().wait();
-            port_ = port;
+        const auto target = view_of(request.target());
+        const auto path = target.substr(0, target.find('?'));
+        const auto query = target.substr(std::min(path.size() + 1, target.size()));
+        const bool is_get = request.method() == http::verb::get;
+        if (path == "/rpc" && request.method() == http::verb::post) {
+            co_return answer(path, json_type, [&] { return handlers_.rpc(request.body()); });
         }
-        catch (const std::exception& e) {
-            throw control_port_unavailable(options_.address, port, e.what());
+        if (path == "/metrics" && is_get) {
+            co_return answer(path, text_type, handlers_.metrics);
         }
-    }
-
-    void serve(const http_request& request)
-    {
-        const auto path = request.relative_uri().path();
-        const bool is_get = request.method() == methods::GET;
-        if (path == "/rpc" && request.method() == methods::POST) {
-            serve_rpc(request);
-        }
-        else if (path == "/metrics" && is_get) {
-            answer(request, text_type, handlers_.metrics);
-        }
-        else if (path == "/status" && is_get) {
-            answer(request, json_type, handlers_.status);
-        }
-        else if (path == "/audit" && is_get) {
-            const auto after = after_parameter(request.relative_uri());
-            if (!after) {
-                refuse(request, status_codes::BadRequest);
-                return;
-            }
-            answer(request, json_type, [&] { return handlers_.audit(*after); });
-        }
-        else {
-            refuse(request, status_codes::NotFound);
-        }
-    }
-
-    void serve_rpc(const http_request& request)
-    {
-        const auto& headers = request.headers();
-        // Without a stated length the body could grow without bound.
-        if (!headers.has("Content-Length")) {
-            refuse(request, status_codes::LengthRequired);
-            return;
+        if (path == "/status" && is_get) {
+            co_return answer(path, json_type, handlers_.status);
         }
-        if (headers.content_length() > options_.largest_request) {
-            refuse(request, status_codes::RequestEntityTooLarge);
-            return;
+        if (path == "/audit" && is_get) {
+            const auto after = after_parameter(query);
+            co_return after ? answer(path, json_type, [&] { return handlers_.audit(*after); })
+                            : refuse(http::status::bad_request);
         }
-        const auto running = running_.enter();
-        request.extract_vector().then(
-            [this, request, running](const pplx::task<std::vector<unsigned char>>& received) {
-                try {
-                    const auto bytes = received.get();
-                    const std::string body(bytes.begin(), bytes.end());
-                    answer(request, json_type, [&] { return handlers_.rpc(body); });
-                }
-                catch (const std::exception&) {
-                    // The sender closed the connection before the body was complete.
-                    ++refused_;
-                }
-            });
+        co_return refuse(http::status::not_found);
     }
 
     template<class Handler>
-    void answer(const http_request& request, const char* type, const Handler& handler)
+    static call_response answer(std::string_view path, const char* type, const Handler& handler)
     {
-        const auto running = running_.enter();
         try {
-            reply(request, status_codes::OK, handler(), type);
+            return response(http::status::ok, type, handler());
         }
         catch (const std::exception& e) {
             log_event("control_handler_failed")
-                .add("path", request.relative_uri().path())
+                .add("path", std::string(path))
                 .add("why", e.what())
                 .error();
-            reply(request, status_codes::InternalError, "", text_type);
+            return response(http::status::internal_server_error, text_type, "");
         }
     }
 
-    void refuse(const http_request& request, web::http::status_code status)
+    call_response refuse(http::status status)
     {
         ++refused_;
-        reply(request, status, "", text_type);
+        return response(status, text_type, "");
     }
 
-    static void reply(const http_request& request, web::http::status_code status,
-                      const std::string& body, const char* type)
+    static call_response response(http::status status, const char* type, std::string body)
     {
-        request.reply(status, body, type).then([](const pplx::task<void>& sent) {
-            try {
-                sent.get();
-            }
-            catch (const std::exception&) {
-                // The peer is gone; it learns nothing more from this answer.
-                return;
-            }
-        });
+        call_response result(status, 11);
+        result.set(http::field::content_type, type);
+        result.body() = std::move(body);
+        result.prepare_payload();
+        return result;
     }
 
-    control_server_options options_;
     control_handlers handlers_;
-    http_listener listener_;
-    running_requests running_;
-    std::uint16_t port_ = 0;
     std::atomic<std::uint64_t> refused_ = 0;
+    io_threads threads_;
+    std::optional<call_listener> listener_;
 };
 
 control_server::control_server(control_server_options options, control_handlers handlers)
--- a/libs/control/tests/peer_client_test.cpp
+++ b/libs/control/tests/peer_client_test.cpp
@@ -1,6 +1,6 @@
+#include "call_io/asio.h"
 #include "control/control_server.h"
 
-#include "control/free_port.h"
 #include "control/peer_client.h"
 #include "control/rpc_server.h"
 #include "spread/invalid_message.h"
@@ -128,7 +128,13 @@
     oversized.header.cluster = std::string(1000, 'c');
     REQUIRE_THROWS_AS(client.exchange(peer, oversized), peer_refused);
     REQUIRE(malformed == 1);
-    REQUIRE_THROWS_AS(client.exchange({"127.0.0.1", find_free_port("127.0.0.1")}, {}),
+    // Bound but not listening.
+    asio::io_context context;
+    const tcp::endpoint local(asio::ip::make_address("127.0.0.1"), 0);
+    tcp::acceptor bound(context);
+    bound.open(local.protocol());
+    bound.bind(local);
+    REQUIRE_THROWS_AS(client.exchange({"127.0.0.1", bound.local_endpoint().port()}, {}),
                       peer_unreachable);
     REQUIRE_THROWS_AS(client.exchange({"not an address", 1}, {}), peer_unreachable);
 }
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -10,6 +10,7 @@
 #include "call_io/io_threads.h"
 #include "control/control_server.h"
 
+#include <algorithm>
 #include <thread>
 
 namespace trefoil {
@@ -94,7 +95,11 @@
         peers.push_soon();
     }
 
-    std::size_t in_flight() const { return inbound.active().size() + forward.in_flight(); }
+    /// Work of callers that are gone may still run, and answers of ended work may still be written.
+    std::size_t in_flight() const
+    {
+        return std::max(inbound.active().size() + forward.in_flight(), listener.in_flight());
+    }
 
     const vm_incarnation incarnation = current_incarnation();
     settings own;
