Explain a request from its id over the logs of many nodes

trefoilhold explain ID LOG... prints the lines of a request and of its calls in order of time, each with the meaning of its event and reason, and says how many lines the processes dropped.

--- a/apps/trefoilhold/src/command.h
+++ b/apps/trefoilhold/src/command.h
@@ -32,5 +32,6 @@
 command status_command();
 command fleet_command();
 command audit_command();
+command explain_command();
 
 } // namespace trefoil
--- /dev/null
+++ b/apps/trefoilhold/src/request_trail.cpp
@@ -0,0 +1,90 @@
+#include "request_trail.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <tuple>
+
+namespace trefoil {
+
+namespace {
+
+struct meaning {
+    std::string_view event;
+    /// Empty: whatever the reason is.
+    std::string_view reason;
+    std::string_view text;
+};
+
+/// docs/OPERATIONS.md says what to do about each.
+constexpr std::array meanings = {
+    meaning{"call_refused", "admit-fraction",
+            "refused before any work: a service below admits only this share (level)"},
+    meaning{"call_refused", "no-target", "refused, not run: no target could take it"},
+    meaning{"call_refused", "no-configuration", "refused, not run: the node had no configuration"},
+    meaning{"call_refused", "draining", "refused, not run: the node was about to stop"},
+    meaning{"call_refused", "", "refused, not run"},
+    meaning{"call_turned_away", "",
+            "the node beside the target had no room, or too little time was left; not run"},
+    meaning{"call_sent_again", "queue-full", "sent to another target: the queue of one was full"},
+    meaning{"call_sent_again", "upstream-shed", "sent to another target: one refused it unrun"},
+    meaning{"call_sent_again", "upstream-down", "sent to another target: one was not reachable"},
+    meaning{"call_sent_again", "connection-lost",
+            "sent to another target: the connection to one was lost and the work may be repeated"},
+    meaning{"call_sent_again", "", "sent to another target"},
+    meaning{"call_failed", "deadline-passed", "failed: its time was used up; it may have run"},
+    meaning{"call_failed", "connection-lost",
+            "failed: the connection was lost after the request was sent; it may have run"},
+    meaning{"call_failed", "", "failed; it may have run"},
+    meaning{"caller_gone", "", "the caller closed its connection"},
+    meaning{"answer_invalid", "", "the target sent bytes that are no answer"},
+    meaning{"answer_of_other_request", "", "the target sent the answer of another request"},
+    meaning{"answer_without_proof", "", "the target's success lacked its proof"},
+};
+
+/// Stands between the id of a request and the rest of the id of its call.
+constexpr std::string_view separators = ".:/";
+
+std::size_t number_of(std::string_view text)
+{
+    std::size_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+} // namespace
+
+bool belongs_to(std::string_view id, std::string_view request)
+{
+    // Ids of calls are the request's id, a separator and more.
+    return id.starts_with(request) &&
+           (id.size() == request.size() || separators.find(id[request.size()]) != separators.npos);
+}
+
+void request_trail::add(std::string_view id, const std::string& process, std::string_view text)
+{
+    auto line = parse_log_line(text);
+    if (!line) {
+        return;
+    }
+    dropped += number_of(line->field("lines_dropped"));
+    if (belongs_to(line->field("id"), id)) {
+        entries.push_back({line->source.empty() ? process : line->source, std::move(*line)});
+    }
+}
+
+void request_trail::sort()
+{
+    std::ranges::stable_sort(entries, {}, [](const entry& e) { return e.line.time; });
+}
+
+std::string explain(const log_line& line)
+{
+    const auto reason = line.field("reason");
+    const auto* const it = std::ranges::find_if(meanings, [&](const meaning& m) {
+        return m.event == line.event && (m.reason.empty() || m.reason == reason);
+    });
+    return it == meanings.end() ? std::string() : std::string(it->text);
+}
+
+} // namespace trefoil
--- a/apps/trefoilhold/src/run_tool.cpp
+++ b/apps/trefoilhold/src/run_tool.cpp
@@ -25,7 +25,8 @@
 std::vector<command> all_commands()
 {
     std::vector<command> commands{check_command(),  diff_command(),  build_command(),
-                                  status_command(), fleet_command(), audit_command()};
+                                  status_command(), fleet_command(), audit_command(),
+                                  explain_command()};
     for (auto& c : commands) {
         c.options.push_back({"json", "", "write the result as JSON"});
         c.options.push_back({"help", "", "show this text"});
@@ -36,7 +37,8 @@
 void write_help(const std::vector<command>& commands, std::ostream& out)
 {
     out << "usage: trefoilhold COMMAND [OPTIONS] [OPERANDS]\n\n"
-           "Checks, compares and builds configuration objects, and reads the state of nodes.\n\n"
+           "Checks, compares and builds configuration objects, and reads the state and the logs of "
+           "nodes.\n\n"
            "Commands:\n";
     for (const auto& c : commands) {
         out << "  " << std::left << std::setw(8) << c.name << c.help << '\n';
