--- a/libs/relay/include/relay/relay_service.h
+++ b/libs/relay/include/relay/relay_service.h
@@ -109,6 +109,9 @@
 
     void update_availability()
     {
+        if (cache_.revision() == 0) {
+            return; // Before the first state there is nothing that could have lapsed unseen.
+        }
         const bool available = feed_.is_available() || spread_.has_contact(boot_clock::now());
         if (available_ != available) {
             available_ = available;
