Hold back contents that crash the targets that run them

A request may crash each target that begins to run it and comes again at any node; nothing stopped it. A node whose target ends connections and then refuses new ones tells two nodes, chosen by hash for each content, what was running. At the third crash these ask all nodes whether a target served the content, which clears it; otherwise all hold it back for 60 s: at the first hop with that time to return, and before the target.

Messages to all nodes are sent only for a content that was running at three crashes. libs/quarantine's crash_suspects was not taken: it runs all that was in flight at one crash alone, one at a time on a target, which a crash of a busy target would turn into a loss of capacity.

--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -1,5 +1,6 @@
 #include "call_forwarder.h"
 
+#include "content_messages.h"
 #include "http_text.h"
 
 #include <algorithm>
@@ -56,10 +57,11 @@
 
 call_forwarder::call_forwarder(asio::io_context& context, deadline_queue& deadlines,
                                const relay_settings& s, target_directory& targets,
-                               local_target& local, route_levels& levels, decision_log& log,
-                               metrics& counters, peer_link::handlers link_handlers)
+                               local_target& local, route_levels& levels,
+                               const crash_exchange& crashes, decision_log& log, metrics& counters,
+                               peer_link::handlers link_handlers)
     : context_(context), deadlines_(deadlines), settings_(s), targets_(targets), local_(local),
-      report_(log, counters), limits_(answer_limits::for_memory(s.memory_bytes)),
+      report_(log, counters), crashes_(crashes), limits_(answer_limits::for_memory(s.memory_bytes)),
       link_bytes_(limits_.all), link_handlers_(std::move(link_handlers)),
       placement_({s.zone, s.inbound.address().to_string()}), levels_(levels),
       random_(std::random_device{}())
@@ -107,6 +109,10 @@
         fail(call, 400, refusal_reason::malformed);
         return;
     }
+    if (const auto left = held_back(call->request)) {
+        refuse(call, refusal_reason::quarantined, *left);
+        return;
+    }
     auto patience = call->way->timeout;
     if (call->request.patience.count() > 0) {
         patience = std::min(patience, call->request.patience);
@@ -127,6 +133,16 @@
     send(call);
 }
 
+std::optional<std::chrono::milliseconds>
+call_forwarder::held_back(const relay_request& request) const
+{
+    if (!crashes_.holds_any()) {
+        return std::nullopt; // Saves the comparison of large bodies.
+    }
+    return crashes_.held_back(
+        content_of(request.method, request.host, request.target, request.body));
+}
+
 void call_forwarder::note_lineage(pending_call& call)
 {
     call.rank = call.way->rank;
--- a/libs/relay/src/call_forwarder.h
+++ b/libs/relay/src/call_forwarder.h
@@ -29,7 +29,8 @@
 public:
     call_forwarder(asio::io_context& context, deadline_queue& deadlines, const relay_settings& s,
                    target_directory& targets, local_target& local, route_levels& levels,
-                   decision_log& log, metrics& counters, peer_link::handlers link_handlers);
+                   const crash_exchange& crashes, decision_log& log, metrics& counters,
+                   peer_link::handlers link_handlers);
 
     void set_routes(std::shared_ptr<const route_table> routes);
     const std::shared_ptr<const route_table>& routes() const noexcept { return routes_; }
@@ -53,6 +54,7 @@
 private:
     using call_ptr = std::shared_ptr<pending_call>;
 
+    std::optional<std::chrono::milliseconds> held_back(const relay_request& request) const;
     void note_lineage(pending_call& call);
     bool admit(const call_ptr& call);
     void send(const call_ptr& call);
@@ -77,6 +79,7 @@
     target_directory& targets_;
     local_target& local_;
     call_report report_;
+    const crash_exchange& crashes_;
     answer_limits limits_;
     byte_account link_bytes_;
     std::unordered_map<byte_account::holder, std::weak_ptr<peer_link>> links_by_number_;
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -1,5 +1,6 @@
 #include "local_target.h"
 
+#include "content_messages.h"
 #include "http_text.h"
 
 #include <algorithm>
@@ -16,6 +17,10 @@
 /// Time for the target to tell its id. A status check waits for a slot like a request.
 constexpr std::chrono::milliseconds identity_timeout{500};
 
+/// Time from the first connection that the target ends to the look whether it crashed. The
+/// connections of a process and its port go within a few milliseconds.
+constexpr std::chrono::milliseconds alive_check_delay{30};
+
 /// Change of the admit level that is worth a log line.
 constexpr double logged_step = 0.1;
 
@@ -23,9 +28,10 @@
 
 local_target::local_target(asio::io_context& context, deadline_queue& deadlines,
                            tcp::endpoint upstream, const header_dialect& names,
-                           answer_limits limits, const route_levels& levels, decision_log& log)
+                           answer_limits limits, const route_levels& levels, decision_log& log,
+                           crash_exchange& crashes)
     : deadlines_(deadlines), client_(context, deadlines, upstream, names, limits), log_(log),
-      levels_(levels), queue_(initial_slots), names_(names), context_(context),
+      crashes_(crashes), levels_(levels), queue_(initial_slots), names_(names), context_(context),
       upstream_(std::move(upstream)), most_body_bytes_(limits.bodies)
 {
 }
@@ -47,9 +53,10 @@
                                call.nested, deadline,   request_deadline};
     const bool fits = has_room_for(call);
     body_bytes_ += call.body.size();
-    calls_.emplace(ticket, running_call{std::move(call), caller_service, std::move(done), nullptr,
-                                        deadline, request_deadline, now});
-    if (draining_ || !fits) {
+    const auto content = content_of(call.method, call.host, call.target, call.body);
+    calls_.emplace(ticket, running_call{std::move(call), content, caller_service, std::move(done),
+                                        nullptr, deadline, request_deadline, now});
+    if (draining_ || !fits || crashes_.held_back(content)) {
         refuse(ticket);
         return ticket;
     }
@@ -119,6 +126,11 @@
         return;
     }
     auto& c = it->second;
+    if (crashes_.held_back(c.content)) {
+        refuse(ticket); // It was told while the request waited.
+        deadlines_.at(boot_clock::now(), [this] { advance(); });
+        return;
+    }
     const auto& expected = c.call.service == identity_source_.service.str()
                                ? identity_.expected(c.call.target_id)
                                : c.call.target_id;
@@ -233,6 +245,9 @@
     if (result.is_misdirected && await_identity(ticket)) {
         return;
     }
+    if (const auto it = calls_.find(ticket); it != calls_.end()) {
+        note_content(it->second, result);
+    }
     answer_message answer;
     answer.outcome = static_cast<std::uint8_t>(result.outcome);
     answer.status = result.answer.status;
@@ -243,6 +258,35 @@
     advance();
 }
 
+void local_target::note_content(const running_call& call, const upstream_result& result)
+{
+    if (result.outcome == call_outcome::answered) {
+        crashes_.served(call.content);
+    }
+    if (!result.is_broken_off) {
+        return;
+    }
+    broken_off_.push_back(call.content);
+    if (!std::exchange(is_check_due_, true)) {
+        deadlines_.at(boot_clock::now() + alive_check_delay, [this] { check_alive(); });
+    }
+}
+
+void local_target::check_alive()
+{
+    const auto socket = std::make_shared<tcp::socket>(context_);
+    socket->async_connect(upstream_, [this, socket](auto error) { on_checked(error); });
+}
+
+void local_target::on_checked(boost::system::error_code error)
+{
+    is_check_due_ = false;
+    const auto contents = std::exchange(broken_off_, {});
+    if (error == asio::error::connection_refused) {
+        crashes_.target_crashed(contents);
+    }
+}
+
 void local_target::finish(std::uint64_t ticket, bool completed, answer_message answer)
 {
     const auto it = calls_.find(ticket);
--- a/libs/relay/src/local_target.h
+++ b/libs/relay/src/local_target.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crash_exchange.h"
 #include "deadline_queue.h"
 #include "decision_log.h"
 #include "node_message.h"
@@ -30,7 +31,7 @@
 
     local_target(asio::io_context& context, deadline_queue& deadlines, tcp::endpoint upstream,
                  const header_dialect& names, answer_limits limits, const route_levels& levels,
-                 decision_log& log);
+                 decision_log& log, crash_exchange& crashes);
 
     /// Where the target answers status checks, and whether its id may be one of this service. Both
     /// are needed to learn its id when it refuses requests for an earlier one.
@@ -77,6 +78,7 @@
 private:
     struct running_call {
         call_message call;
+        content_fingerprint content;
         std::string caller_service;
         answer_handler done;
         std::shared_ptr<upstream_exchange> exchange;
@@ -96,6 +98,10 @@
     void ask_identity();
     void on_identity(const http_get_result& status);
     void on_result(std::uint64_t ticket, upstream_result result);
+    void note_content(const running_call& call, const upstream_result& result);
+    /// Connects to the target, to see whether it crashed or only ended a connection.
+    void check_alive();
+    void on_checked(boost::system::error_code error);
     void finish(std::uint64_t ticket, bool completed, answer_message answer);
     void arm_wakeup();
     void observe(mono_time now);
@@ -103,6 +109,7 @@
     deadline_queue& deadlines_;
     upstream_client client_;
     decision_log& log_;
+    crash_exchange& crashes_;
     const route_levels& levels_;
     run_queue queue_;
     admit_level level_;
@@ -122,6 +129,9 @@
     std::size_t body_bytes_ = 0;
     std::size_t most_body_bytes_;
     std::uint64_t last_ticket_ = 0;
+    /// Contents whose connections the target ended, until it is known whether it crashed.
+    std::vector<content_fingerprint> broken_off_;
+    bool is_check_due_ = false;
     mono_time armed_for_ = mono_time::max();
     double logged_level_ = 1.0;
     bool draining_ = false;
--- a/libs/relay/src/node_message.h
+++ b/libs/relay/src/node_message.h
@@ -25,6 +25,10 @@
     leaving = 7,
     state_request = 8,
     state = 9,
+    crash = 10,
+    content_question = 11,
+    content_served = 12,
+    hold_back = 13,
 };
 
 /// Admit levels in messages are in thousandths.
--- a/libs/relay/src/peer_link.cpp
+++ b/libs/relay/src/peer_link.cpp
@@ -187,6 +187,13 @@
             send_control(std::move(*reply));
         }
         break;
+    case node_message_kind::content_question:
+    case node_message_kind::content_served:
+    case node_message_kind::hold_back:
+        if (auto reply = handlers_.contents(message)) {
+            send_control(std::move(*reply));
+        }
+        break;
     default:
         break;
     }
--- a/libs/relay/src/peer_link.h
+++ b/libs/relay/src/peer_link.h
@@ -30,6 +30,8 @@
         /// The peer is shutting down and takes no new requests.
         std::function<void()> leaving;
         state_handlers state;
+        /// Messages about contents that crash targets; returns the bytes to send back, if any.
+        std::function<std::optional<std::string>(const raw_node_message&)> contents;
         /// Bytes of an unfinished message of the peer that are held.
         std::function<void(std::size_t bytes)> held;
         /// The connection is silent and still has requests that must not be repeated; new ones are
@@ -53,6 +55,9 @@
     /// Passes published changes on.
     void push_state(const state_message& state);
 
+    /// Sends a message that needs no answer, once the connection is open.
+    void send_control(std::string bytes);
+
     bool is_connected() const noexcept { return connected_; }
     std::size_t in_flight() const noexcept { return waiting_.size(); }
 
@@ -67,8 +72,6 @@
 private:
     void open();
     void on_connected();
-    /// Sends a message that needs no answer, once the connection is open.
-    void send_control(std::string bytes);
     void write(call_message& call);
     void on_data(boost::beast::flat_buffer& buffer);
     void handle(const struct raw_node_message& message);
--- a/libs/relay/src/peer_session.cpp
+++ b/libs/relay/src/peer_session.cpp
@@ -84,6 +84,14 @@
             stream_->write(std::move(*reply));
         }
         break;
+    case node_message_kind::crash:
+    case node_message_kind::content_question:
+    case node_message_kind::content_served:
+    case node_message_kind::hold_back:
+        if (auto reply = handlers_.contents(message)) {
+            stream_->write(std::move(*reply));
+        }
+        break;
     default:
         break;
     }
--- a/libs/relay/src/peer_session.h
+++ b/libs/relay/src/peer_session.h
@@ -28,6 +28,8 @@
         /// A peer connected.
         std::function<void(const std::shared_ptr<peer_session>&)> greeted;
         state_handlers state;
+        /// Messages about contents that crash targets; returns the bytes to send back, if any.
+        std::function<std::optional<std::string>(const raw_node_message&)> contents;
         /// Bytes of an unfinished message that are held.
         std::function<void(const std::shared_ptr<peer_session>&, std::size_t bytes)> held;
         std::function<void(const std::shared_ptr<peer_session>&)> ended;
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -3,6 +3,7 @@
 #include "acceptor.h"
 #include "call_forwarder.h"
 #include "caller_session.h"
+#include "crash_exchange.h"
 #include "deadline_queue.h"
 #include "http_text.h"
 #include "local_target.h"
@@ -84,10 +85,11 @@
 class relay_node::impl {
 public:
     impl(asio::io_context& c, relay_settings s)
-        : context(c), settings(std::move(s)), deadlines(c),
+        : context(c), settings(std::move(s)), deadlines(c), crashes(deadlines, crash_ways()),
           local(c, deadlines, settings.upstream, settings.headers,
-                answer_limits::for_memory(settings.memory_bytes), levels, log),
-          forwarder(c, deadlines, settings, targets, local, levels, log, counters, link_handlers()),
+                answer_limits::for_memory(settings.memory_bytes), levels, log, crashes),
+          forwarder(c, deadlines, settings, targets, local, levels, crashes, log, counters,
+                    link_handlers()),
           outbound(c, settings.outbound,
                    [this](tcp::socket socket) { accept_caller(std::move(socket)); }),
           inbound(c, settings.inbound,
@@ -98,7 +100,21 @@
 
     peer_link::handlers link_handlers()
     {
-        return {[] {}, exchange_handlers(), [](std::size_t) {}, [] {}};
+        return {[] {}, exchange_handlers(), content_handler(), [](std::size_t) {}, [] {}};
+    }
+
+    crash_exchange::ways crash_ways()
+    {
+        return {[this] { return members_of(targets.entries()); },
+                [this](const std::string& address, std::string bytes) {
+                    forwarder.link_to(address)->send_control(std::move(bytes));
+                },
+                settings.inbound.address().to_string()};
+    }
+
+    std::function<std::optional<std::string>(const raw_node_message&)> content_handler()
+    {
+        return [this](const raw_node_message& message) { return crashes.reply_to(message); };
     }
 
     state_handlers exchange_handlers()
@@ -190,7 +206,7 @@
                                 s->request_state();
                             }
                         },
-                        exchange_handlers(),
+                        exchange_handlers(), content_handler(),
                         [this](const auto& s, std::size_t bytes) {
                             peers.note_unfinished(*s, bytes, byte_account::cut::allowed);
                         },
@@ -303,6 +319,7 @@
     metrics counters;
     target_directory targets;
     route_levels levels;
+    crash_exchange crashes;
     local_target local;
     call_forwarder forwarder;
     peer_state_exchange exchange;
@@ -398,8 +415,12 @@
 
 void relay_node::remove_target(const std::string& id)
 {
-    log_event("target_removed").add("target", id).info();
     impl_->targets.remove(id, boot_clock::now());
+    // It is kept for a while after an outage of the store, in which entries lapse.
+    log_event("target_removed")
+        .add("target", id)
+        .add("kept", impl_->targets.find(id) != nullptr)
+        .info();
 }
 
 void relay_node::set_store_available(bool available)
--- a/libs/relay/src/upstream_client.h
+++ b/libs/relay/src/upstream_client.h
@@ -39,6 +39,8 @@
     relay_answer answer;
     /// The target declined it since it has another id.
     bool is_misdirected = false;
+    /// The target ended the connection before its answer was whole.
+    bool is_broken_off = false;
 };
 
 /// Sends requests to the own target over kept connections, one request at a time on each. A request
--- a/libs/relay/src/upstream_exchange.cpp
+++ b/libs/relay/src/upstream_exchange.cpp
@@ -253,7 +253,9 @@
             }
         }
     }
-    finish_lost();
+    upstream_result lost;
+    lost.is_broken_off = true;
+    finish(std::move(lost));
 }
 
 void upstream_exchange::on_deadline()
--- a/libs/relay/tests/stand_in_target.h
+++ b/libs/relay/tests/stand_in_target.h
@@ -32,9 +32,9 @@
 
     stand_in_target(asio::io_context& context, const tcp::endpoint& local,
                     std::function<reply(const request&)> respond)
-        : acceptor_(context, local), respond_(std::move(respond))
+        : acceptor_(context), local_(local), respond_(std::move(respond))
     {
-        asio::co_spawn(context, accept(), asio::detached);
+        listen();
     }
 
     ~stand_in_target() { acceptor_.close(); }
@@ -43,6 +43,23 @@
 
     const std::vector<request>& requests() const noexcept { return requests_; }
 
+    void set_respond(std::function<reply(const request&)> respond)
+    {
+        respond_ = std::move(respond);
+    }
+
+    /// Refuses new connections, as a process that has ended.
+    void crash() { acceptor_.close(); }
+
+    /// Takes connections again; does nothing if it does so already.
+    void listen()
+    {
+        if (!acceptor_.is_open()) {
+            acceptor_ = tcp::acceptor(acceptor_.get_executor(), local_);
+            asio::co_spawn(acceptor_.get_executor(), accept(), asio::detached);
+        }
+    }
+
     /// Connections that the other side closed.
     int closed() const noexcept { return closed_; }
 
@@ -99,6 +116,7 @@
     }
 
     tcp::acceptor acceptor_;
+    tcp::endpoint local_;
     std::function<reply(const request&)> respond_;
     std::vector<request> requests_;
     int closed_ = 0;
