--- a/libs/call_io/tests/call_io_test.cpp
+++ b/libs/call_io/tests/call_io_test.cpp
@@ -2,6 +2,7 @@
 #include "call_io/connection_pool.h"
 #include "call_io/io_threads.h"
 
+#include "base/error.h"
 #include "wire/call_headers.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -19,13 +20,16 @@
 
 #include <array>
 #include <atomic>
-#include <stdexcept>
 #include <thread>
 
 using namespace std::chrono_literals;
 using namespace trefoil;
 namespace http = boost::beast::http;
 
+struct handler_fault : error {
+    handler_fault() : error("fault in a handler") {}
+};
+
 /// A client on loopback.
 struct client_fixture {
     asio::io_context context;
@@ -198,7 +202,7 @@
         call_response response(http::status::ok, 11);
         set_header(response, call_headers::request_id, *header(request, call_headers::request_id));
         if (request.body() == "fail") {
-            throw std::runtime_error("fault in a handler");
+            throw handler_fault();
         }
         response.body() = request.body() == "large" ? large_body : request.body();
         response.prepare_payload();
--- a/libs/control/include/control/control_server.h
+++ b/libs/control/include/control/control_server.h
@@ -43,7 +43,7 @@
 class control_server {
 public:
     /// Throws control_port_unavailable.
-    control_server(control_server_options options, control_handlers handlers);
+    control_server(const control_server_options& options, control_handlers handlers);
     ~control_server();
     control_server(const control_server&) = delete;
     control_server& operator=(const control_server&) = delete;
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -71,7 +71,7 @@
 
 class control_server::impl {
 public:
-    impl(control_server_options options, control_handlers handlers)
+    impl(const control_server_options& options, control_handlers handlers)
         : handlers_(std::move(handlers)), threads_(handler_threads)
     {
         try {
@@ -167,8 +167,8 @@
     std::optional<call_listener> listener_;
 };
 
-control_server::control_server(control_server_options options, control_handlers handlers)
-    : impl_(std::make_unique<impl>(std::move(options), std::move(handlers)))
+control_server::control_server(const control_server_options& options, control_handlers handlers)
+    : impl_(std::make_unique<impl>(options, std::move(handlers)))
 {
 }
 
