Keep contents served at one moment in order, and bound what is told of a crash

Found by reading: two contents served at the same reading of the clock could leave an entry whose content was dropped, and the next clean-up threw out_of_range (test failed before). A message with very many contents would have taken long to count, and a target that neither takes nor refuses a connection kept the look at it open.

--- a/libs/dispatch/include/dispatch/crash_watch.h
+++ b/libs/dispatch/include/dispatch/crash_watch.h
@@ -6,10 +6,11 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
+#include <list>
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace trefoil {
@@ -79,9 +80,11 @@
     void drop_oldest();
 
     crash_watch_options options_;
-    std::unordered_map<content_fingerprint, mono_time> served_;
-    /// In order of time; an entry counts if it has the time that is in `served_`.
-    std::deque<std::pair<mono_time, content_fingerprint>> served_order_;
+    using served_list = std::list<std::pair<mono_time, content_fingerprint>>;
+
+    /// Contents in order of the last time that they were served.
+    served_list served_order_;
+    std::unordered_map<content_fingerprint, served_list::iterator> served_;
     std::unordered_map<content_fingerprint, suspect> suspects_;
     std::unordered_map<content_fingerprint, mono_time> held_until_;
 };
--- a/libs/dispatch/src/crash_watch.cpp
+++ b/libs/dispatch/src/crash_watch.cpp
@@ -7,33 +7,22 @@
 
 void crash_watch::served(content_fingerprint content, mono_time now)
 {
-    served_[content] = now;
-    served_order_.emplace_back(now, content);
-    while (!served_order_.empty()) {
-        const auto& [time, oldest] = served_order_.front();
-        const auto it = served_.find(oldest);
-        const bool is_renewed = it == served_.end() || it->second != time;
-        const bool is_over = now - time > options_.memory || served_.size() > options_.capacity;
-        if (!is_renewed && !is_over) {
-            break;
-        }
-        if (!is_renewed) {
-            served_.erase(it);
-        }
-        served_order_.pop_front();
+    const auto [it, is_new] = served_.try_emplace(content);
+    if (!is_new) {
+        served_order_.erase(it->second);
     }
-    // Renewed entries behind one that is not renewed stay until it is dropped.
-    if (served_order_.size() > 2 * options_.capacity) {
-        std::erase_if(served_order_, [this](const auto& entry) {
-            return served_.at(entry.second) != entry.first;
-        });
+    it->second = served_order_.insert(served_order_.end(), {now, content});
+    while (served_.size() > options_.capacity ||
+           now - served_order_.front().first > options_.memory) {
+        served_.erase(served_order_.front().second);
+        served_order_.pop_front();
     }
 }
 
 bool crash_watch::was_served(content_fingerprint content, mono_time now) const
 {
     const auto it = served_.find(content);
-    return it != served_.end() && now - it->second <= options_.memory;
+    return it != served_.end() && now - it->second->first <= options_.memory;
 }
 
 void crash_watch::drop_oldest()
--- a/libs/dispatch/tests/crash_watch_test.cpp
+++ b/libs/dispatch/tests/crash_watch_test.cpp
@@ -65,6 +65,21 @@
     CHECK(crash(lethal, 5));
 }
 
+// Guards against a lookup of a content that was dropped: several are served at one moment.
+TEST_CASE("crash_watch_contents_served_at_one_moment_are_dropped_in_order")
+{
+    crash_watch watch({.capacity = 2});
+    mono_time now{1h};
+    for (const std::uint64_t content : {1U, 2U, 1U, 3U}) {
+        watch.served({content}, now);
+    }
+    for (int i = 0; i < 10; ++i) {
+        now += 1ms;
+        CHECK_NOTHROW(watch.served({3}, now));
+    }
+    CHECK(watch.was_served({3}, now));
+}
+
 // Guards against memory that grows with the requests.
 TEST_CASE_METHOD(crash_watch_fixture, "crash_watch_remembers_the_latest_within_its_bound")
 {
--- a/libs/relay/src/crash_exchange.cpp
+++ b/libs/relay/src/crash_exchange.cpp
@@ -17,6 +17,9 @@
 /// Nodes that count a content. One of them may be down.
 constexpr std::size_t counting_count = 2;
 
+/// Contents in one message. More than the slots of any target known; the rest is not reported.
+constexpr std::size_t most_contents = 1024;
+
 std::uint64_t new_crash_number()
 {
     std::random_device device;
@@ -68,7 +71,9 @@
         for (const auto& node : counting_nodes(content)) {
             auto& message = messages[node];
             message.crash = crash;
-            message.contents.push_back(content.value);
+            if (message.contents.size() < most_contents) {
+                message.contents.push_back(content.value);
+            }
         }
     }
     log_event("target_crashed")
@@ -138,6 +143,9 @@
     switch (message.kind) {
     case node_message_kind::crash: {
         const auto told = decode_fields<crash_message>(message);
+        if (told.contents.size() > most_contents) {
+            throw invalid_node_message("too many contents of a crash");
+        }
         for (const auto content : told.contents) {
             count({content}, told.crash);
         }
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -21,6 +21,9 @@
 /// connections of a process and its port go within a few milliseconds.
 constexpr std::chrono::milliseconds alive_check_delay{30};
 
+/// Time for that look. A target on the own machine answers within a millisecond or is silent.
+constexpr std::chrono::milliseconds alive_check_timeout{500};
+
 /// Change of the admit level that is worth a log line.
 constexpr double logged_step = 0.1;
 
@@ -275,6 +278,12 @@
 void local_target::check_alive()
 {
     const auto socket = std::make_shared<tcp::socket>(context_);
+    deadlines_.at(boot_clock::now() + alive_check_timeout, [weak = std::weak_ptr(socket)] {
+        if (const auto open = weak.lock()) {
+            boost::system::error_code ignored; // Ends the attempt, which then counts as no crash.
+            open->close(ignored);
+        }
+    });
     socket->async_connect(upstream_, [this, socket](auto error) { on_checked(error); });
 }
 
