Report an outage of the store only after contact with it

A node whose first state comes from a node without contact took the time before its own first call for an outage, and kept missing entries for 2.5 s. An outage now counts only after contact, or if the state comes from a node that reports one.

--- a/libs/relay/include/relay/relay_service.h
+++ b/libs/relay/include/relay/relay_service.h
@@ -78,6 +78,7 @@
             return false;
         }
         node_.confirm_for(changes.confirm_left);
+        may_lose_ = may_lose_ || changes.confirm_left.count() > 0;
         if (changes.base == 0) {
             learn(known, cache_.replace(changes.items, changes.revision), false);
             return false;
@@ -109,10 +110,11 @@
 
     void update_availability()
     {
-        if (cache_.revision() == 0) {
-            return; // Before the first state there is nothing that could have lapsed unseen.
-        }
         const bool available = feed_.is_available() || spread_.has_contact(boot_clock::now());
+        may_lose_ = may_lose_ || available;
+        if (!may_lose_) {
+            return;
+        }
         if (available_ != available) {
             available_ = available;
             node_.set_store_available(available);
@@ -175,6 +177,9 @@
     asio::steady_timer timer_;
     /// The store counts as available until it is known not to be.
     bool available_ = true;
+    /// Entries may have lapsed unseen: this node knew of contact with the store, or has its state
+    /// from one that reports an outage. A node that starts knows of none yet, which is no outage.
+    bool may_lose_ = false;
 };
 
 } // namespace trefoil
--- a/libs/relay/tests/relay_service_test.cpp
+++ b/libs/relay/tests/relay_service_test.cpp
@@ -1,3 +1,4 @@
+#include "node_codec.h"
 #include "relay_fixture.h"
 
 #include "relay/relay_service.h"
@@ -34,7 +35,8 @@
                 present.push_back(item);
             }
         }
-        asio::post(context_, [this, done, present] {
+        const auto timer = std::make_shared<asio::steady_timer>(context_, read_time);
+        timer->async_wait([this, done, present, timer](auto) {
             done({read_status::ok, present, false, revision_, {}});
         });
     }
@@ -48,6 +50,9 @@
 
     explicit memory_store(asio::io_context& context) : context_(context) {}
 
+    /// Time until a reading is answered.
+    std::chrono::milliseconds read_time{0};
+
 private:
     void wake()
     {
@@ -166,3 +171,25 @@
     CHECK(targets_of(first) == 2);
     CHECK(targets_of(second) == 2);
 }
+
+// Guards against the same if the first state comes from a node that knows of no contact with the
+// store yet.
+TEST_CASE_METHOD(relay_service_fixture, "relay_service_first_state_without_contact_is_no_outage")
+{
+    store.put("i-1", "2");
+    store.put("i-2", "3");
+    store.read_time = 400ms;
+    auto& node = start(2);
+    auto peer = connect(node.settings.inbound);
+    state_message state;
+    state.mark.revision = 1;
+    state.items = {{"i-1", "2", 1, false}};
+    asio::write(peer, asio::buffer(encode_message(node_message_kind::hello,
+                                                  hello_message{"vm-x", "orders", 0}) +
+                                   encode_message(node_message_kind::state, state)));
+    run_for(1000ms);
+    CHECK(targets_of(node) == 2);
+    store.remove("i-2");
+    run_for(300ms);
+    CHECK(targets_of(node) == 1);
+}
