Reserve the ports of the relay tests

Tests run in several processes, and each looked for free ports by binding and closing them, so that two could choose the same.

--- a/libs/relay/tests/relay_fixture.h
+++ b/libs/relay/tests/relay_fixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "port_block.h"
 #include "stand_in_target.h"
 
 #include "relay/relay_node.h"
@@ -29,7 +30,8 @@
     };
 
     asio::io_context context{1};
-    const unsigned short port = free_port();
+    const port_block ports;
+    const unsigned short port = ports.first();
     std::vector<std::unique_ptr<vm>> vms;
     /// Memory that the nodes added from now on may use.
     std::size_t memory_bytes = relay_settings().memory_bytes;
@@ -38,22 +40,6 @@
 
     ~relay_fixture() { context.stop(); }
 
-    static unsigned short free_port()
-    {
-        asio::io_context context;
-        // Four ports in a row are used on each address.
-        for (unsigned short candidate = 21000; candidate < 32000; candidate += 4) {
-            boost::system::error_code error;
-            tcp::acceptor probe(context);
-            probe.open(tcp::v4(), error);
-            probe.bind({asio::ip::address_v4::any(), candidate}, error);
-            if (!error) {
-                return candidate;
-            }
-        }
-        return 0;
-    }
-
     /// Adds a VM whose target is `id` of the service; `respond` decides its answers.
     vm& add_vm(const std::string& id, const std::string& service,
                std::function<stand_in_target::reply(const stand_in_target::request&)> respond)
