--- a/libs/relay/tests/crashing_content_test.cpp
+++ b/libs/relay/tests/crashing_content_test.cpp
@@ -47,7 +47,7 @@
 
     answer ask(const std::string& path)
     {
-        const auto got = relay_fixture::ask(
+        auto got = relay_fixture::ask(
             front->settings.outbound,
             request_text("id-" + std::to_string(++last_id_), {}, "GET " + path + " HTTP/1.1"));
         context.run_for(500ms); // Longer than the nodes take to tell each other.
