--- a/libs/relay/src/node_codec.h
+++ b/libs/relay/src/node_codec.h
@@ -47,12 +47,12 @@
 /// Bytes that the message takes in the buffer.
 std::size_t size_of(const raw_node_message& message);
 
-/// Hands each whole message in the buffer over and removes it. Throws `invalid_node_message` for
-/// bytes that are none.
-template<class Handler>
-void take_messages(boost::beast::flat_buffer& buffer, std::size_t most, Handler handler)
+/// Hands each whole message in the buffer over and removes it. `most` tells the largest message
+/// that may come next. Throws `invalid_node_message` for bytes that are none.
+template<class Limit, class Handler>
+void take_messages(boost::beast::flat_buffer& buffer, Limit most, Handler handler)
 {
-    while (const auto message = peek_message(buffer, most)) {
+    while (const auto message = peek_message(buffer, most())) {
         const auto size = size_of(*message);
         handler(*message);
         buffer.consume(size);
--- a/libs/relay/src/peer_link.cpp
+++ b/libs/relay/src/peer_link.cpp
@@ -149,8 +149,9 @@
     // A handler may end this link.
     const auto self = shared_from_this();
     try {
-        take_messages(buffer, largest_message,
-                      [this](const raw_node_message& message) { handle(message); });
+        take_messages(
+            buffer, [] { return largest_message; },
+            [this](const raw_node_message& message) { handle(message); });
         handlers_.held(buffer.size());
     }
     catch (const invalid_node_message& e) {
--- a/libs/relay/src/peer_session.cpp
+++ b/libs/relay/src/peer_session.cpp
@@ -25,7 +25,8 @@
 void peer_session::on_data(boost::beast::flat_buffer& buffer)
 {
     try {
-        const auto most = greeted_ ? largest_message : largest_greeting;
+        // Requests may follow the greeting in the same bytes.
+        const auto most = [this] { return greeted_ ? largest_message : largest_greeting; };
         take_messages(buffer, most, [this](const raw_node_message& message) { handle(message); });
     }
     catch (const invalid_node_message& e) {
--- a/libs/relay/tests/relay_node_test.cpp
+++ b/libs/relay/tests/relay_node_test.cpp
@@ -78,6 +78,18 @@
     CHECK(sent.find("trefoil-deadline-ms") != sent.end());
 }
 
+// Guards against a first request on a connection that is taken for a greeting without end.
+TEST_CASE_METHOD(two_vms_fixture, "relay_first_request_with_large_body_arrives")
+{
+    serve(false);
+    const std::string body(20000, 'x');
+    const auto got =
+        ask(request_text("id-1", "Content-Length: 20000\r\n", "POST /work/1 HTTP/1.1") + body);
+    CHECK(got.result_int() == 200);
+    REQUIRE(back.target->requests().size() == 1);
+    CHECK(back.target->requests().front().body() == body);
+}
+
 // Guards against a success that is not the target's.
 TEST_CASE_METHOD(two_vms_fixture, "relay_answer_without_proof_is_no_success")
 {
--- a/libs/spread/include/spread/revision_spread.h
+++ b/libs/spread/include/spread/revision_spread.h
@@ -20,18 +20,22 @@
 struct revision_spread_options {
     /// Three watchers in all bear the loss of any two machines without a takeover. The first node
     /// takes over about 50 ms after the silence, at any size: nodes draw from a window that grows
-    /// with their number. Nodes that start call at once: without the store they serve nothing.
+    /// with their number. Changes wait for the pause of the first of three watchers, a quarter of
+    /// it in the mean. Nodes that start call at once: without the store they serve nothing. While
+    /// the store is empty few of them watch: targets register in some seconds, and a node is told
+    /// by others as soon as its own target is known.
     watcher_options watcher{
         .watchers_in_all = 3,
         .answers_everything = true,
         .silence = std::chrono::milliseconds(1000),
-        .pause = std::chrono::milliseconds(150),
+        .pause = std::chrono::milliseconds(300),
         .first_retry = std::chrono::milliseconds(150),
         .first_retry_without_list = std::chrono::milliseconds(300),
         .longest_retry = std::chrono::milliseconds(800),
         .takeover_calls_per_second = 20.0,
         .longest_takeover_window = std::chrono::minutes(5),
         .start_window = std::chrono::milliseconds(50),
+        .empty_list_window = std::chrono::seconds(3),
     };
     /// Time between pulls of a node that hears of fresh contact by other messages.
     std::chrono::milliseconds pull_interval{500};
@@ -44,7 +48,7 @@
     /// in a few tens of milliseconds.
     std::chrono::milliseconds push_patience{100};
     /// The same for a node that watches: a watch brings a change within a few pauses.
-    std::chrono::milliseconds watch_patience{400};
+    std::chrono::milliseconds watch_patience{600};
     /// Peers of the own zone to which a node passes each change on; one that has it from the store
     /// also passes it to a peer of every other zone. What all copies miss is asked for.
     std::size_t push_count = 3;
--- a/libs/spread/include/spread/watcher_choice.h
+++ b/libs/spread/include/spread/watcher_choice.h
@@ -41,6 +41,9 @@
     /// A node without a list draws its first call from this window, so that a cold start of 2,400
     /// nodes stays below the platform's 2,000 calls/s.
     std::chrono::nanoseconds start_window = std::chrono::seconds(2);
+    /// A node whose first calls found an empty list draws its next call from this window; 0: from
+    /// the start window, which is over by then.
+    std::chrono::nanoseconds empty_list_window = std::chrono::seconds(0);
 };
 
 /// A planned call or pair of calls to the platform.
@@ -108,6 +111,7 @@
     /// This node took over with a call for one value, which was answered; the other is to be read.
     bool follow_up_ = false;
     bool alone_ = false;
+    bool was_answered_ = false;
 };
 
 } // namespace trefoil
--- a/libs/spread/src/watcher_choice.cpp
+++ b/libs/spread/src/watcher_choice.cpp
@@ -97,6 +97,7 @@
 void watcher_choice::call_answered(mono_time now)
 {
     last_contact_ = now;
+    was_answered_ = true;
     // A call for one value says nothing of the other, and other nodes stop when they hear of this
     // contact, so this node reads both before it stops.
     follow_up_ = !chosen_ && !last_round_both_;
@@ -155,8 +156,16 @@
         return std::nullopt;
     }
     if (!first_call_) {
-        first_call_ = has_list ? now + draw_within(takeover_window(), random)
-                               : started_ + draw_within(options_.start_window, random);
+        const bool is_list_empty = was_answered_ && options_.empty_list_window.count() > 0;
+        if (has_list) {
+            first_call_ = now + draw_within(takeover_window(), random);
+        }
+        else if (is_list_empty) {
+            first_call_ = now + draw_within(options_.empty_list_window, random);
+        }
+        else {
+            first_call_ = started_ + draw_within(options_.start_window, random);
+        }
     }
     return watch_round{std::max(*first_call_, not_before_), false};
 }
