--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -26,7 +26,7 @@
                            answer_limits limits, const route_levels& levels, decision_log& log)
     : deadlines_(deadlines), client_(context, deadlines, upstream, names, limits), log_(log),
       levels_(levels), queue_(initial_slots), names_(names), context_(context),
-      upstream_(std::move(upstream))
+      upstream_(std::move(upstream)), most_body_bytes_(limits.bodies)
 {
 }
 
@@ -45,9 +45,11 @@
     const auto request_deadline = deadline + std::chrono::milliseconds(call.request_extra_ms);
     const waiting_call waiting{ticket,      call.route, call.rank,
                                call.nested, deadline,   request_deadline};
+    const bool fits = has_room_for(call);
+    body_bytes_ += call.body.size();
     calls_.emplace(ticket, running_call{std::move(call), caller_service, std::move(done), nullptr,
                                         deadline, request_deadline, now});
-    if (draining_) {
+    if (draining_ || !fits) {
         refuse(ticket);
         return ticket;
     }
@@ -56,6 +58,11 @@
     return ticket;
 }
 
+bool local_target::has_room_for(const call_message& call) const
+{
+    return calls_.empty() || body_bytes_ + call.body.size() <= most_body_bytes_;
+}
+
 void local_target::advance()
 {
     const auto now = boot_clock::now();
@@ -146,6 +153,7 @@
         log_.write(log_event("call_turned_away")
                        .add("id", it->second.call.id)
                        .add("draining", draining_)
+                       .add("body_bytes", body_bytes_)
                        .add("waited_ms", (now - it->second.offered) / std::chrono::milliseconds(1))
                        .add("left_ms", (it->second.deadline - now) / std::chrono::milliseconds(1))
                        .add("running", load.running)
@@ -243,6 +251,7 @@
     }
     const auto c = std::move(it->second);
     calls_.erase(it);
+    body_bytes_ -= c.call.body.size();
     if (c.exchange) {
         runs_.erase(c.call.id);
     }
@@ -272,6 +281,7 @@
         return;
     }
     if (queue_.remove_waiting(ticket)) {
+        body_bytes_ -= it->second.call.body.size();
         calls_.erase(it);
         return;
     }
--- a/libs/relay/src/local_target.h
+++ b/libs/relay/src/local_target.h
@@ -87,6 +87,8 @@
         bool was_misdirected = false;
     };
 
+    /// Whether the process has room for the body of one more request.
+    bool has_room_for(const call_message& call) const;
     void advance();
     void start(std::uint64_t ticket);
     void refuse(std::uint64_t ticket);
@@ -116,6 +118,9 @@
     std::shared_ptr<http_get_client> identity_client_;
     /// Requests that wait for the id.
     std::vector<std::uint64_t> awaiting_identity_;
+    /// Bytes of the bodies of all requests that wait or run, and their bound.
+    std::size_t body_bytes_ = 0;
+    std::size_t most_body_bytes_;
     std::uint64_t last_ticket_ = 0;
     mono_time armed_for_ = mono_time::max();
     double logged_level_ = 1.0;
--- a/libs/relay/src/peer_session.cpp
+++ b/libs/relay/src/peer_session.cpp
@@ -28,11 +28,11 @@
         // Requests may follow the greeting in the same bytes.
         const auto most = [this] { return greeted_ ? largest_message : largest_greeting; };
         take_messages(buffer, most, [this](const raw_node_message& message) { handle(message); });
+        handlers_.held(shared_from_this(), buffer.size());
     }
     catch (const invalid_node_message& e) {
         log_event("peer_message_invalid").add("detail", e.what()).warning();
-        stream_->close();
-        on_ended();
+        end();
     }
 }
 
@@ -117,6 +117,12 @@
     handlers_.ended(shared_from_this());
 }
 
+void peer_session::end()
+{
+    stream_->close();
+    on_ended();
+}
+
 void peer_session::close()
 {
     stream_->close();
--- a/libs/relay/src/peer_session.h
+++ b/libs/relay/src/peer_session.h
@@ -28,6 +28,8 @@
         /// A peer connected.
         std::function<void(const std::shared_ptr<peer_session>&)> greeted;
         state_handlers state;
+        /// Bytes of an unfinished message that are held.
+        std::function<void(const std::shared_ptr<peer_session>&, std::size_t bytes)> held;
         std::function<void(const std::shared_ptr<peer_session>&)> ended;
     };
 
@@ -46,6 +48,9 @@
 
     void close();
 
+    /// Ends the connection; the requests on it are cancelled.
+    void end();
+
     /// Bytes held for this peer.
     std::size_t held_bytes() const { return stream_->unwritten(); }
 
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -7,16 +7,15 @@
 #include "http_text.h"
 #include "local_target.h"
 #include "peer_session.h"
+#include "session_set.h"
 
 #include "base/log_event.h"
-#include "dispatch/byte_account.h"
 #include "metrics/metrics.h"
 
 #include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
-#include <unordered_map>
 #include <utility>
 
 namespace trefoil {
@@ -72,9 +71,9 @@
 /// Part of the memory that answers waiting for slow callers may take, and those for slow peers.
 constexpr std::size_t held_part = 4;
 
-/// Part of the memory that the requests of all callers may take. A request exists twice as it is
-/// passed on.
-constexpr std::size_t request_part = 8;
+/// Part of the memory that the requests of all callers may take, and the messages of peers that are
+/// being read. A request exists twice as it is passed on.
+constexpr std::size_t unfinished_part = 8;
 
 /// Time to return for a request that the memory has no room for. The bodies that take it are read
 /// or given up within their callers' patience, which is seconds.
@@ -114,9 +113,7 @@
     {
         const auto session =
             std::make_shared<caller_session>(std::move(socket), settings.headers, limits);
-        callers.insert(session);
-        const auto number = ++last_caller;
-        callers_by_number[number] = session;
+        callers.add(session);
         session->start({// NOLINTNEXTLINE(performance-unnecessary-value-param)
                         [this](const auto& s, relay_request request) {
                             if (is_closed_to_new(request)) {
@@ -124,36 +121,21 @@
                             }
                             forwarder.handle(s, std::move(request));
                         },
-                        [this, number](const auto& s) { note_request(number, *s); },
+                        [this](const auto& s) {
+                            // What is being read has not run and may be refused to make room.
+                            callers.note_unfinished(*s, s->request_bytes(),
+                                                    s->is_busy() ? byte_account::cut::never
+                                                                 : byte_account::cut::allowed);
+                        },
                         [this](const auto& s) { forwarder.caller_gone(s); },
-                        [this, number](const auto& s) {
-                            request_bytes.set(number, 0);
-                            callers_by_number.erase(number);
-                            callers.erase(s);
-                        }});
+                        [this](const auto& s) { callers.remove(s); }});
     }
 
     /// The largest request that a caller may send passes even if the memory is small.
     void bound_requests()
     {
-        request_bytes.set_most(std::max(settings.memory_bytes / request_part,
-                                        limits.max_header_bytes + limits.max_body_bytes));
-    }
-
-    /// Counts what the caller's requests take. Those that are being read may be refused to make
-    /// room, since they have not run.
-    void note_request(byte_account::holder number, const caller_session& session)
-    {
-        request_bytes.set(number, session.request_bytes(),
-                          session.is_busy() ? byte_account::cut::never
-                                            : byte_account::cut::allowed);
-        while (const auto largest = request_bytes.to_cut()) {
-            request_bytes.set(*largest, 0);
-            if (const auto caller = callers_by_number[*largest].lock()) {
-                log_event("request_cut").add("reason", "requests take too much memory").warning();
-                caller->refuse_unread(not_run_answer(memory_return));
-            }
-        }
+        callers.set_most_unfinished(std::max(settings.memory_bytes / unfinished_part,
+                                             limits.max_header_bytes + limits.max_body_bytes));
     }
 
     void accept_probe(tcp::socket socket)
@@ -190,7 +172,7 @@
     void accept_peer(tcp::socket socket)
     {
         const auto session = std::make_shared<peer_session>(std::move(socket));
-        peers.insert(session);
+        peers.add(session);
         session->start({// The call is moved on, which clang-tidy 14 does not see.
                         // NOLINTNEXTLINE(performance-unnecessary-value-param)
                         [this](const auto& s, const std::string& service, call_message call) {
@@ -208,7 +190,11 @@
                                 s->request_state();
                             }
                         },
-                        exchange_handlers(), [this](const auto& s) { peers.erase(s); }});
+                        exchange_handlers(),
+                        [this](const auto& s, std::size_t bytes) {
+                            peers.note_unfinished(*s, bytes, byte_account::cut::allowed);
+                        },
+                        [this](const auto& s) { peers.remove(s); }});
         if (target_closed) {
             session->tell_leaving();
         }
@@ -269,22 +255,9 @@
     void sweep()
     {
         const auto now = boot_clock::now();
-        std::size_t held = 0;
-        const auto open = callers; // Closing a session removes it.
-        for (const auto& session : open) {
-            session->check_timeouts(now);
-            held += session->held_bytes();
-        }
-        if (held > settings.memory_bytes / held_part) {
-            close_slowest(callers, "caller_closed");
-        }
-        std::size_t held_for_peers = 0;
-        for (const auto& session : peers) {
-            held_for_peers += session->held_bytes();
-        }
-        if (held_for_peers > settings.memory_bytes / held_part) {
-            close_slowest(peers, "peer_closed");
-        }
+        callers.for_each([now](const auto& session) { session->check_timeouts(now); });
+        callers.bound_unread();
+        peers.bound_unread();
         for (const auto& id : targets.expire(now)) {
             log_event("target_dropped").add("target", id).add("reason", "not confirmed").info();
         }
@@ -292,47 +265,20 @@
         deadlines.at(now + sweep_interval, [this] { sweep(); });
     }
 
-    /// Frees the memory of the session that has the most unread bytes.
-    template<class Session>
-    static void close_slowest(std::set<std::shared_ptr<Session>>& sessions, std::string_view event)
-    {
-        const auto slowest =
-            std::max_element(sessions.begin(), sessions.end(), [](const auto& a, const auto& b) {
-                return a->held_bytes() < b->held_bytes();
-            });
-        if (slowest == sessions.end()) {
-            return;
-        }
-        const auto closed = sessions.extract(slowest);
-        const auto& session = closed.value();
-        log_event(event)
-            .add("reason", "unread answers")
-            .add("bytes", session->held_bytes())
-            .warning();
-        session->close();
-    }
-
     /// Other nodes send nothing new to the target from now on.
     void close_target()
     {
         target_closed = true;
         local.start_draining();
-        for (const auto& peer : peers) {
-            peer->tell_leaving();
-        }
-    }
-
-    /// An answer is on its way until its reader has taken it; the end of the process cuts it off.
-    bool has_unread_answers() const
-    {
-        return std::ranges::any_of(callers, [](const auto& s) { return s->held_bytes() > 0; }) ||
-               std::ranges::any_of(peers, [](const auto& s) { return s->held_bytes() > 0; });
+        peers.for_each([](const auto& peer) { peer->tell_leaving(); });
     }
 
     void check_drained()
     {
         const auto now = boot_clock::now();
-        const bool is_busy = local.in_flight() + forwarder.in_flight() > 0 || has_unread_answers();
+        // The end of the process cuts answers off that their readers have not taken.
+        const bool is_busy = local.in_flight() + forwarder.in_flight() > 0 ||
+                             callers.has_unread() || peers.has_unread();
         if (is_busy) {
             quiet_since = now;
         }
@@ -360,12 +306,14 @@
     local_target local;
     call_forwarder forwarder;
     peer_state_exchange exchange;
-    std::set<std::shared_ptr<caller_session>> callers;
-    byte_account request_bytes{settings.memory_bytes / request_part};
-    std::unordered_map<byte_account::holder, std::weak_ptr<caller_session>> callers_by_number;
-    byte_account::holder last_caller = 0;
+    session_set<caller_session> callers{
+        {settings.memory_bytes / unfinished_part, settings.memory_bytes / held_part,
+         "caller_closed"},
+        [](auto& session) { session.refuse_unread(not_run_answer(memory_return)); }};
     std::set<std::shared_ptr<caller_session>> probes;
-    std::set<std::shared_ptr<peer_session>> peers;
+    session_set<peer_session> peers{
+        {settings.memory_bytes / unfinished_part, settings.memory_bytes / held_part, "peer_closed"},
+        [](auto& session) { session.end(); }};
     acceptor outbound;
     acceptor inbound;
     acceptor ready;
@@ -472,7 +420,7 @@
 void relay_node::request_state_of_any()
 {
     if (!impl_->peers.empty()) {
-        (*impl_->peers.begin())->request_state();
+        impl_->peers.any()->request_state();
     }
 }
 
--- a/libs/relay/tests/caller_bytes_test.cpp
+++ b/libs/relay/tests/caller_bytes_test.cpp
@@ -1,8 +1,11 @@
+#include "node_codec.h"
 #include "relay_fixture.h"
 
 #include <catch2/catch.hpp>
 
-#include <boost/asio/read_until.hpp>
+#include <boost/asio/read.hpp>
+
+#include <array>
 
 using namespace std::chrono_literals;
 using namespace trefoil;
@@ -63,6 +66,22 @@
     }
 };
 
+/// A node with little memory whose target never answers, and one with the usual memory for callers.
+struct busy_target_fixture : relay_fixture {
+    static constexpr std::size_t memory = caller_bytes_fixture::memory;
+
+    vm* front = nullptr;
+    vm* back = nullptr;
+
+    busy_target_fixture()
+    {
+        front = &add_vm("front", "front", [](const auto&) { return reply{}; });
+        memory_bytes = memory;
+        back = &add_vm("back", "orders", [](const auto&) { return reply{"", end::silent}; });
+        publish(config_for("orders", false), {{back, "back"}});
+    }
+};
+
 } // namespace
 
 // Guards against a stack overflow from requests that one caller sends without waiting, each of
@@ -168,3 +187,72 @@
     CHECK(refused < senders);
     CHECK(relay_fixture::ask(front->settings.outbound, request_text("id-2")).body() == "done");
 }
+
+// Guards against bodies for one target that fill its node: they come from many nodes and wait.
+TEST_CASE_METHOD(busy_target_fixture, "caller_bytes_bodies_for_a_busy_target_are_bounded_together")
+{
+    constexpr std::size_t one = 1000U << 10U;
+    constexpr std::size_t senders = 8;
+    std::vector<tcp::socket> callers;
+    std::size_t refused = 0;
+    for (std::size_t i = 0; i < senders; ++i) {
+        callers.push_back(connect(front->settings.outbound));
+        const auto text = request_text("id-" + std::to_string(i),
+                                       "Content-Length: " + std::to_string(one) + "\r\n",
+                                       "POST /work/1 HTTP/1.1") +
+                          std::string(one, 'x');
+        bool is_written = false;
+        asio::async_write(callers.back(), asio::buffer(text),
+                          [&](auto, std::size_t) { is_written = true; });
+        run_until([&] { return is_written; });
+        run_until([&] {
+            return callers.back().available() > 0 || back->target->requests().size() + refused > i;
+        });
+        if (callers.back().available() > 0) {
+            ++refused;
+            const auto got = read_answer(callers.back());
+            CHECK(got.result_int() == 503);
+            CHECK(got.find("Retry-After") != got.end());
+        }
+    }
+    CHECK(back->target->requests().size() == memory / 8 / one);
+    CHECK(refused == senders - memory / 8 / one);
+}
+
+// Guards against peers, or whoever reaches their port, that begin messages and do not end them.
+TEST_CASE_METHOD(caller_bytes_fixture, "caller_bytes_unfinished_messages_of_nodes_are_bounded")
+{
+    constexpr std::uint32_t one = 1000U << 10U;
+    constexpr std::size_t senders = 12;
+    const auto hello = encode_message(node_message_kind::hello, hello_message{"vm-x", "orders", 0});
+    std::string unfinished;
+    for (const unsigned shift : {24U, 16U, 8U, 0U}) {
+        unfinished += static_cast<char>((one + 1) >> shift);
+    }
+    unfinished += static_cast<char>(node_message_kind::call);
+    unfinished += std::string(one, 'x');
+    std::vector<tcp::socket> peers;
+    std::size_t closed = 0;
+    for (std::size_t i = 0; i < senders; ++i) {
+        peers.push_back(connect(back->settings.inbound));
+        asio::write(peers.back(), asio::buffer(hello));
+        bool is_written = false;
+        asio::async_write(peers.back(), asio::buffer(unfinished),
+                          [&](auto, std::size_t) { is_written = true; });
+        run_until([&] { return is_written; });
+    }
+    context.run_for(100ms);
+    context.restart();
+    for (auto& peer : peers) {
+        peer.non_blocking(true);
+        std::array<char, 4096> bytes{};
+        boost::system::error_code error;
+        while (!error) {
+            peer.read_some(asio::buffer(bytes), error);
+        }
+        closed += error == asio::error::would_block ? 0U : 1U;
+    }
+    CHECK((senders - closed) * one <= memory / 8);
+    CHECK(closed < senders);
+    CHECK(relay_fixture::ask(front->settings.outbound, request_text("id-2")).body() == "done");
+}
