--- a/libs/dispatch/include/dispatch/crash_watch.h
+++ b/libs/dispatch/include/dispatch/crash_watch.h
@@ -48,6 +48,9 @@
     /// are to be asked whether they served the content.
     bool crashed(content_fingerprint content, std::uint64_t crash, mono_time now);
 
+    /// Crashes that count for the content.
+    std::size_t crashes_of(content_fingerprint content) const;
+
     /// Another node served the content.
     void cleared(content_fingerprint content);
 
--- a/libs/dispatch/src/crash_watch.cpp
+++ b/libs/dispatch/src/crash_watch.cpp
@@ -56,6 +56,12 @@
     return true;
 }
 
+std::size_t crash_watch::crashes_of(content_fingerprint content) const
+{
+    const auto it = suspects_.find(content);
+    return it == suspects_.end() ? 0 : it->second.crashes.size();
+}
+
 void crash_watch::cleared(content_fingerprint content)
 {
     suspects_.erase(content);
--- a/libs/relay/src/crash_exchange.cpp
+++ b/libs/relay/src/crash_exchange.cpp
@@ -33,8 +33,15 @@
 {
 }
 
-void crash_exchange::served(content_fingerprint content)
+void crash_exchange::served(content_fingerprint content, unsigned status)
 {
+    if (const auto crashes = watch_.crashes_of(content); crashes > 0) {
+        log_event("suspect_answered")
+            .add("content", content.to_string())
+            .add("status", status)
+            .add("crashes", crashes)
+            .info();
+    }
     watch_.served(content, boot_clock::now());
 }
 
@@ -94,7 +101,18 @@
 void crash_exchange::count(content_fingerprint content, std::uint64_t crash)
 {
     const auto now = boot_clock::now();
-    if (watch_.was_served(content, now) || !watch_.crashed(content, crash, now)) {
+    if (watch_.was_served(content, now)) {
+        log_event("crash_not_counted").add("content", content.to_string()).info();
+        return;
+    }
+    const bool is_at_bound = watch_.crashed(content, crash, now);
+    if (const auto crashes = watch_.crashes_of(content); crashes > 1) {
+        log_event("content_crashed_again")
+            .add("content", content.to_string())
+            .add("crashes", crashes)
+            .warning();
+    }
+    if (!is_at_bound) {
         return;
     }
     log_event("content_suspected").add("content", content.to_string()).warning();
@@ -154,6 +172,9 @@
     case node_message_kind::content_question: {
         const auto content = decode_fields<content_question_message>(message).content;
         if (watch_.was_served({content}, now)) {
+            log_event("content_was_served")
+                .add("content", content_fingerprint{content}.to_string())
+                .info();
             return encode_message(node_message_kind::content_served,
                                   content_served_message{content});
         }
@@ -161,7 +182,10 @@
     }
     case node_message_kind::content_served: {
         const content_fingerprint content{decode_fields<content_served_message>(message).content};
-        log_event("content_cleared").add("content", content.to_string()).info();
+        log_event("content_cleared")
+            .add("content", content.to_string())
+            .add("crashes", watch_.crashes_of(content))
+            .info();
         watch_.cleared(content);
         break;
     }
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -167,6 +167,8 @@
         const auto load = queue_.load();
         log_.write(log_event("call_turned_away")
                        .add("id", it->second.call.id)
+                       .add("content", it->second.content.to_string())
+                       .add("held_back", crashes_.held_back(it->second.content).has_value())
                        .add("draining", draining_)
                        .add("body_bytes", body_bytes_)
                        .add("waited_ms", (now - it->second.offered) / std::chrono::milliseconds(1))
@@ -264,14 +266,21 @@
 void local_target::note_content(const running_call& call, const upstream_result& result)
 {
     if (result.outcome == call_outcome::answered) {
-        crashes_.served(call.content);
+        crashes_.served(call.content, result.answer.status);
     }
     if (!result.is_broken_off) {
         return;
     }
+    const auto now = boot_clock::now();
+    if (log_.begin(now)) {
+        log_.write(log_event("call_broken_off")
+                       .add("id", call.call.id)
+                       .add("content", call.content.to_string())
+                       .add("running", load().running));
+    }
     broken_off_.push_back(call.content);
     if (!std::exchange(is_check_due_, true)) {
-        deadlines_.at(boot_clock::now() + alive_check_delay, [this] { check_alive(); });
+        deadlines_.at(now + alive_check_delay, [this] { check_alive(); });
     }
 }
 
@@ -291,6 +300,10 @@
 {
     is_check_due_ = false;
     const auto contents = std::exchange(broken_off_, {});
+    log_event("target_checked")
+        .add("result", error ? error.message() : std::string("accepts connections"))
+        .add("broken_off", contents.size())
+        .info();
     if (error == asio::error::connection_refused) {
         crashes_.target_crashed(contents);
     }
