Count only successful answers as service of a suspected content

What callers saw: with one target of five failing, a request crashed the four others again and again (27 crashes of 30 requests). Cause: any answer of a target counted as service and cleared the content at all nodes, a 500 too. A failure says nothing of what happens when the request is run. Now a status below 400 clears it.

Same cause elsewhere: the own node released a suspect on any whole answer; crash_suspects::answered now decides by the same rule.

--- a/libs/node/src/local_runner.cpp
+++ b/libs/node/src/local_runner.cpp
@@ -151,7 +151,8 @@
         }
     }
     else if (answered && told == outcome::complete) {
-        log_.record(suspects_.completed(c.id, fingerprint(c), boot_clock::now()));
+        log_.record(suspects_.answered(c.id, fingerprint(c), result.response.result_int(),
+                                       boot_clock::now()));
     }
     else {
         suspects_.abandoned(c.id, fingerprint(c));
--- a/libs/quarantine/include/quarantine/crash_suspects.h
+++ b/libs/quarantine/include/quarantine/crash_suspects.h
@@ -58,9 +58,13 @@
     /// registers the request as in flight. Two suspects can pass `decide` but only one passes this.
     crash_verdict started(const request_id& id, content_fingerprint fingerprint, mono_time now);
 
-    /// The upstream gave its whole answer: the fingerprint is released.
+    /// The upstream ran the request to a good end: the fingerprint is released.
     crash_changes completed(const request_id& id, content_fingerprint fingerprint, mono_time now);
 
+    /// The upstream gave its whole answer with this status. A failure releases nothing.
+    crash_changes answered(const request_id& id, content_fingerprint fingerprint, unsigned status,
+                           mono_time now);
+
     /// The request ended without an answer of the upstream (cancelled, timed out, refused by it).
     void abandoned(const request_id& id, content_fingerprint fingerprint);
 
--- a/libs/quarantine/src/crash_suspects.cpp
+++ b/libs/quarantine/src/crash_suspects.cpp
@@ -136,6 +136,16 @@
     return changes;
 }
 
+crash_changes crash_suspects::answered(const request_id& id, content_fingerprint fingerprint,
+                                       unsigned status, mono_time now)
+{
+    if (proves_harmless(status)) {
+        return completed(id, fingerprint, now);
+    }
+    abandoned(id, fingerprint);
+    return {};
+}
+
 void crash_suspects::abandoned(const request_id& id, content_fingerprint fingerprint)
 {
     state_->in_flight.remove(id, fingerprint);
--- a/libs/quarantine/tests/crash_suspects_test.cpp
+++ b/libs/quarantine/tests/crash_suspects_test.cpp
@@ -44,6 +44,20 @@
 
 } // namespace
 
+// Guards against a failing upstream that releases a content which crashes the others.
+TEST_CASE_METHOD(crash_suspects_fixture, "crash_suspects_failure_answer_does_not_release")
+{
+    crash_with({1});
+    const auto id = new_id();
+    suspects.started(id, {1}, now);
+    CHECK(suspects.answered(id, {1}, 500, now).empty());
+    CHECK(suspects.in_flight() == 0);
+    CHECK(suspects.decide(new_id(), {1}, now).decision == crash_decision::run_alone);
+    suspects.started(id, {1}, now);
+    CHECK_FALSE(suspects.answered(id, {1}, 200, now).empty());
+    CHECK(suspects.decide(new_id(), {1}, now).decision == crash_decision::run);
+}
+
 // Guards against two suspects on one target, whose crash would not tell which one is to blame.
 TEST_CASE_METHOD(crash_suspects_fixture, "crash_suspects_second_suspect_waits_for_the_first")
 {
--- a/libs/relay/src/crash_exchange.cpp
+++ b/libs/relay/src/crash_exchange.cpp
@@ -33,7 +33,7 @@
 {
 }
 
-void crash_exchange::served(content_fingerprint content, unsigned status)
+void crash_exchange::answered(content_fingerprint content, unsigned status)
 {
     if (const auto crashes = watch_.crashes_of(content); crashes > 0) {
         log_event("suspect_answered")
@@ -42,7 +42,9 @@
             .add("crashes", crashes)
             .info();
     }
-    watch_.served(content, boot_clock::now());
+    if (proves_harmless(status)) {
+        watch_.served(content, boot_clock::now());
+    }
 }
 
 std::optional<std::chrono::milliseconds> crash_exchange::held_back(content_fingerprint c) const
--- a/libs/relay/src/crash_exchange.h
+++ b/libs/relay/src/crash_exchange.h
@@ -28,7 +28,7 @@
     crash_exchange(deadline_queue& deadlines, ways w);
 
     /// The own target answered a request with this content.
-    void served(content_fingerprint content, unsigned status);
+    void answered(content_fingerprint content, unsigned status);
 
     /// The own target crashed while it ran these.
     void target_crashed(const std::vector<content_fingerprint>& contents);
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -266,7 +266,7 @@
 void local_target::note_content(const running_call& call, const upstream_result& result)
 {
     if (result.outcome == call_outcome::answered) {
-        crashes_.served(call.content, result.answer.status);
+        crashes_.answered(call.content, result.answer.status);
     }
     if (!result.is_broken_off) {
         return;
