Keep the records of crashes at every node

What callers saw: after three crashes, a request was sent on by nodes that had started later, and crashed a fourth target; with the nodes beside targets replaced between crashes, four contents crashed 18 targets (bound 12). Cause: two nodes counted a content, and what to hold back was told once, to the nodes known then. Class: knowledge with too few owners, told without repetition.

Now every node keeps the records of all crashes, merges those of others in any order and more than once, and decides by itself. A crash is told to all nodes at once; a node compares its records with one other node a second by a digest, and a node that starts asks three at a time until one that has been running for longer answered. Service is recorded with the crashes, so that it spreads in the same way. The timers and the hold_back message go.

Ruled out: more counting nodes (restarts in series reach all of them in the end); telling only nodes that greet (a cut loses the message and the connection stays).

A fleet of 12 nodes that are all replaced between crashes, without input or output, is written with the change, as is the order of merging. crash_watch_content_of_three_crashes_is_held_back and ..._that_was_served_is_cleared follow the new interface and check the same facts; the latter now also that service counts where it was seen without a question. Messages: a crash costs one message of at most 8 kB to each node; comparing costs two of some 20 bytes a node and second.

--- a/libs/dispatch/include/dispatch/crash_watch.h
+++ b/libs/dispatch/include/dispatch/crash_watch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "dispatch/content_crash.h"
 #include "quarantine/content_fingerprint.h"
 
 #include <chrono>
@@ -8,8 +9,8 @@
 #include <cstdint>
 #include <list>
 #include <optional>
-#include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -20,67 +21,88 @@
     /// Crashes after which a content is held back. One or two may be chance: a crash takes along
     /// all that its target was running.
     std::size_t crashes = 3;
-    /// Time in which crashes count together, and for which a content is held back. Far longer than
-    /// a target takes to start again, and than callers keep trying.
+    /// How long a content counts as served, and how long it is held back. Far longer than a target
+    /// takes to start again, and than callers keep trying.
     std::chrono::seconds memory{60};
-    /// Time for the other nodes to say that a target served the content. Several round trips.
+    /// Time from the crash that makes a content suspect until it is held back. In it the other
+    /// nodes may say that a target served the content. Several round trips.
     std::chrono::milliseconds answer_time{300};
-    /// Bound on each kind of entry; the oldest are dropped.
-    std::size_t capacity = 4096;
+    /// Bound on the contents of which crashes are known.
+    std::size_t capacity = 1024;
+    /// Bound on the contents that were served.
+    std::size_t served_capacity = 4096;
 };
 
 /// Which contents of requests crash the targets that run them.
 ///
 /// Load pattern: one request crashes each target that begins to run it, and callers send it again
-/// at any node. Other requests that were running are lost with each crash, and are not the cause.
-/// The nodes that such a content is assigned to count its crashes over all targets. At the bound
-/// they ask all nodes whether a target served the content, which clears it; if none did, all nodes
-/// hold it back.
+/// at any node, also while nodes are restarted or replaced. Other requests that were running are
+/// lost with each crash, and are not the cause.
+///
+/// Every node keeps the records of all crashes and takes over those of the others, in any order and
+/// more than once, so that a record is lost only with all nodes that have it. Each node decides by
+/// itself from its records.
 class crash_watch {
 public:
     explicit crash_watch(crash_watch_options options = {}) : options_(options) {}
 
-    /// A target answered a request with this content.
+    /// A target answered a request with this content: its crashes no longer count.
     void served(content_fingerprint content, mono_time now);
     bool was_served(content_fingerprint content, mono_time now) const;
 
-    /// A target crashed with this content running; `crash` identifies the crash. True if all nodes
-    /// are to be asked whether they served the content.
+    /// A target crashed with this content running. True if that makes the content suspect and its
+    /// crashes count, so that all nodes are to be asked whether they served it.
     bool crashed(content_fingerprint content, std::uint64_t crash, mono_time now);
 
-    /// Crashes that count for the content.
-    std::size_t crashes_of(content_fingerprint content) const;
+    /// A target served the content. False if nothing changed.
+    bool release(content_fingerprint content);
 
-    /// Another node served the content.
-    void cleared(content_fingerprint content);
+    /// Takes over what another node knows.
+    void merge(const content_crash& told, mono_time now);
 
-    /// Contents that nobody served in time; all nodes are to hold them back for `memory`.
-    std::vector<content_fingerprint> due(mono_time now);
+    /// The crashes to tell other nodes; those of contents with most crashes, then of the latest.
+    std::vector<content_crash> crashes(mono_time now) const;
 
-    /// When to ask `due` again.
-    std::optional<mono_time> next_due() const;
+    /// Identifies what `crashes` tells; 0 if there are none. Equal at nodes that know the same.
+    std::uint64_t digest(mono_time now) const;
 
-    void hold_back(content_fingerprint content, std::chrono::milliseconds left, mono_time now);
+    /// Crashes that count for the content.
+    std::size_t crashes_of(content_fingerprint content) const;
 
     /// Time until the content may be tried again; none if it is not held back.
     std::optional<std::chrono::milliseconds> held_back(content_fingerprint content,
                                                        mono_time now) const;
 
-    /// False: no content is held back, so that there is none to compare.
-    bool holds_any() const noexcept { return !held_until_.empty(); }
-
-    std::chrono::milliseconds memory() const { return options_.memory; }
+    /// False: no content is suspect, so that there is none to compare.
+    bool has_suspects() const noexcept { return !suspects_.empty(); }
 
 private:
-    struct suspect {
-        std::set<std::uint64_t> crashes;
-        mono_time first;
-        /// While the other nodes are asked.
-        std::optional<mono_time> asked_until;
+    struct sighting {
+        std::uint64_t crash = 0;
+        mono_time at;
+        bool released = false;
     };
 
-    /// Makes room for one more suspect.
-    void drop_oldest();
+    struct history {
+        std::vector<sighting> crashes;
+
+        std::size_t counted() const;
+        /// When the last of so many crashes that count happened.
+        mono_time time_of(std::size_t count) const;
+        mono_time last() const;
+        bool add(const sighting& s);
+        bool release();
+    };
+
+    using history_map = std::unordered_map<content_fingerprint, history>;
+
+    /// Adds a crash. False if it is known or there is no room.
+    bool add(content_fingerprint content, const sighting& s, mono_time now);
+    /// Drops what is too old and, if there is no room, the records that matter least.
+    void make_room(mono_time now);
+    void note_changed(content_fingerprint content, const history& h);
+    /// The entries to tell others, in order.
+    std::vector<const history_map::value_type*> told(mono_time now) const;
 
     crash_watch_options options_;
     using served_list = std::list<std::pair<mono_time, content_fingerprint>>;
@@ -88,8 +110,9 @@
     /// Contents in order of the last time that they were served.
     served_list served_order_;
     std::unordered_map<content_fingerprint, served_list::iterator> served_;
-    std::unordered_map<content_fingerprint, suspect> suspects_;
-    std::unordered_map<content_fingerprint, mono_time> held_until_;
+    history_map histories_;
+    /// Contents with as many crashes as are needed to hold them back.
+    std::unordered_set<content_fingerprint> suspects_;
 };
 
 } // namespace trefoil
--- a/libs/dispatch/src/crash_watch.cpp
+++ b/libs/dispatch/src/crash_watch.cpp
@@ -1,10 +1,72 @@
 #include "dispatch/crash_watch.h"
 
+#include "base/hash.h"
+
 #include <algorithm>
-#include <utility>
+#include <tuple>
 
 namespace trefoil {
 
+namespace {
+
+/// Crashes kept for one content; more do not change what is decided.
+constexpr std::size_t largest_history = 8;
+
+/// Contents in one message to another node, some kilobytes.
+constexpr std::size_t most_told = 256;
+
+} // namespace
+
+std::size_t crash_watch::history::counted() const
+{
+    return static_cast<std::size_t>(std::ranges::count(crashes, false, &sighting::released));
+}
+
+mono_time crash_watch::history::time_of(std::size_t count) const
+{
+    std::vector<mono_time> times;
+    for (const auto& s : crashes) {
+        if (!s.released) {
+            times.push_back(s.at);
+        }
+    }
+    std::ranges::sort(times);
+    return times.at(count - 1);
+}
+
+mono_time crash_watch::history::last() const
+{
+    return std::ranges::max_element(crashes, {}, &sighting::at)->at;
+}
+
+bool crash_watch::history::add(const sighting& s)
+{
+    const auto known = std::ranges::find(crashes, s.crash, &sighting::crash);
+    if (known != crashes.end()) {
+        // Each message is late by its way, so the earliest time is the nearest to the crash.
+        known->at = std::min(known->at, s.at);
+        return s.released && !std::exchange(known->released, true);
+    }
+    if (crashes.size() == largest_history) {
+        const auto oldest = std::ranges::min_element(crashes, {}, &sighting::at);
+        if (s.at <= oldest->at) {
+            return false;
+        }
+        crashes.erase(oldest);
+    }
+    crashes.push_back(s);
+    return true;
+}
+
+bool crash_watch::history::release()
+{
+    bool changed = false;
+    for (auto& s : crashes) {
+        changed = !std::exchange(s.released, true) || changed;
+    }
+    return changed;
+}
+
 void crash_watch::served(content_fingerprint content, mono_time now)
 {
     const auto [it, is_new] = served_.try_emplace(content);
@@ -12,11 +74,12 @@
         served_order_.erase(it->second);
     }
     it->second = served_order_.insert(served_order_.end(), {now, content});
-    while (served_.size() > options_.capacity ||
+    while (served_.size() > options_.served_capacity ||
            now - served_order_.front().first > options_.memory) {
         served_.erase(served_order_.front().second);
         served_order_.pop_front();
     }
+    release(content);
 }
 
 bool crash_watch::was_served(content_fingerprint content, mono_time now) const
@@ -25,88 +88,144 @@
     return it != served_.end() && now - it->second->first <= options_.memory;
 }
 
-void crash_watch::drop_oldest()
+void crash_watch::note_changed(content_fingerprint content, const history& h)
 {
-    if (suspects_.size() < options_.capacity) {
+    if (h.counted() >= options_.crashes) {
+        suspects_.insert(content);
+    }
+    else {
+        suspects_.erase(content);
+    }
+}
+
+void crash_watch::make_room(mono_time now)
+{
+    if (histories_.size() < options_.capacity) {
         return;
     }
-    suspects_.erase(
-        std::min_element(suspects_.begin(), suspects_.end(), [](const auto& a, const auto& b) {
-            return a.second.first < b.second.first;
-        }));
+    std::vector<std::pair<mono_time, content_fingerprint>> order;
+    for (const auto& [content, h] : histories_) {
+        order.emplace_back(h.last(), content);
+    }
+    // Half at a time, since many contents come with the crashes of a service.
+    const auto kept_from = order.begin() + static_cast<std::ptrdiff_t>(order.size() / 2);
+    std::ranges::nth_element(order, kept_from);
+    for (auto it = order.begin(); it != kept_from; ++it) {
+        histories_.erase(it->second);
+        suspects_.erase(it->second);
+    }
+    std::erase_if(histories_, [&](const auto& entry) {
+        const bool is_old = now - entry.second.last() > options_.memory;
+        if (is_old) {
+            suspects_.erase(entry.first);
+        }
+        return is_old;
+    });
 }
 
-bool crash_watch::crashed(content_fingerprint content, std::uint64_t crash, mono_time now)
+bool crash_watch::add(content_fingerprint content, const sighting& s, mono_time now)
 {
-    auto it = suspects_.find(content);
-    if (it != suspects_.end() && now - it->second.first > options_.memory) {
-        suspects_.erase(it);
-        it = suspects_.end();
+    auto it = histories_.find(content);
+    if (it != histories_.end() && now - it->second.last() > options_.memory) {
+        suspects_.erase(content);
+        histories_.erase(it);
+        it = histories_.end();
     }
-    if (it == suspects_.end()) {
-        drop_oldest();
-        it = suspects_.emplace(content, suspect{{}, now, std::nullopt}).first;
+    if (it == histories_.end()) {
+        make_room(now);
+        it = histories_.try_emplace(content).first;
     }
-    auto& s = it->second;
-    s.crashes.insert(crash);
-    if (s.crashes.size() < options_.crashes || s.asked_until) {
+    const bool changed = it->second.add(s);
+    note_changed(content, it->second);
+    return changed;
+}
+
+bool crash_watch::crashed(content_fingerprint content, std::uint64_t crash, mono_time now)
+{
+    const bool released = was_served(content, now);
+    return add(content, {crash, now, released}, now) && suspects_.contains(content);
+}
+
+bool crash_watch::release(content_fingerprint content)
+{
+    const auto it = histories_.find(content);
+    if (it == histories_.end() || !it->second.release()) {
         return false;
     }
-    s.asked_until = now + options_.answer_time;
+    note_changed(content, it->second);
     return true;
 }
 
-std::size_t crash_watch::crashes_of(content_fingerprint content) const
+void crash_watch::merge(const content_crash& told, mono_time now)
 {
-    const auto it = suspects_.find(content);
-    return it == suspects_.end() ? 0 : it->second.crashes.size();
+    // An age below zero would lengthen the time for which the content is held back.
+    const auto age = std::max(told.age, std::chrono::milliseconds(0));
+    if (age <= options_.memory) {
+        const bool released = told.released || was_served(told.content, now);
+        add(told.content, {told.crash, now - age, released}, now);
+    }
 }
 
-void crash_watch::cleared(content_fingerprint content)
+std::vector<const crash_watch::history_map::value_type*> crash_watch::told(mono_time now) const
 {
-    suspects_.erase(content);
+    std::vector<const history_map::value_type*> order;
+    for (const auto& entry : histories_) {
+        if (now - entry.second.last() <= options_.memory) {
+            order.push_back(&entry);
+        }
+    }
+    const auto kept = std::min(most_told, order.size());
+    std::ranges::partial_sort(
+        order, order.begin() + static_cast<std::ptrdiff_t>(kept), [](const auto* a, const auto* b) {
+            return std::tuple(a->second.crashes.size(), a->second.last(), a->first) >
+                   std::tuple(b->second.crashes.size(), b->second.last(), b->first);
+        });
+    order.resize(kept);
+    return order;
 }
 
-std::vector<content_fingerprint> crash_watch::due(mono_time now)
+std::vector<content_crash> crash_watch::crashes(mono_time now) const
 {
-    std::vector<content_fingerprint> contents;
-    for (auto& [content, s] : suspects_) {
-        if (s.asked_until && now >= *s.asked_until) {
-            s.asked_until.reset(); // A further crash, at a node that was not told, asks again.
-            contents.push_back(content);
+    std::vector<content_crash> result;
+    for (const auto* entry : told(now)) {
+        for (const auto& s : entry->second.crashes) {
+            // Rounded down: a crash that seemed older at each node would be forgotten early.
+            const auto age = std::chrono::floor<std::chrono::milliseconds>(now - s.at);
+            result.push_back({entry->first, s.crash, age, s.released});
         }
     }
-    return contents;
+    return result;
 }
 
-std::optional<mono_time> crash_watch::next_due() const
+std::uint64_t crash_watch::digest(mono_time now) const
 {
-    std::optional<mono_time> next;
-    for (const auto& [content, s] : suspects_) {
-        if (s.asked_until && (!next || *s.asked_until < *next)) {
-            next = s.asked_until;
+    std::uint64_t digest = 0;
+    for (const auto* entry : told(now)) {
+        for (const auto& s : entry->second.crashes) {
+            digest ^= mix64(mix64(entry->first.value ^ mix64(s.crash)) + (s.released ? 1U : 0U));
         }
     }
-    return next;
+    return digest;
 }
 
-void crash_watch::hold_back(content_fingerprint content, std::chrono::milliseconds left,
-                            mono_time now)
+std::size_t crash_watch::crashes_of(content_fingerprint content) const
 {
-    std::erase_if(held_until_, [now](const auto& entry) { return entry.second <= now; });
-    if (held_until_.size() < options_.capacity) {
-        held_until_[content] = now + std::min<std::chrono::milliseconds>(left, options_.memory);
-    }
+    const auto it = histories_.find(content);
+    return it == histories_.end() ? 0 : it->second.counted();
 }
 
 std::optional<std::chrono::milliseconds> crash_watch::held_back(content_fingerprint content,
                                                                 mono_time now) const
 {
-    const auto it = held_until_.find(content);
-    if (it == held_until_.end() || it->second <= now) {
+    if (!suspects_.contains(content)) {
+        return std::nullopt;
+    }
+    const auto& h = histories_.at(content);
+    const auto until = h.time_of(h.counted()) + options_.memory;
+    if (now < h.time_of(options_.crashes) + options_.answer_time || now >= until) {
         return std::nullopt;
     }
-    return std::chrono::ceil<std::chrono::milliseconds>(it->second - now);
+    return std::chrono::ceil<std::chrono::milliseconds>(until - now);
 }
 
 } // namespace trefoil
--- a/libs/dispatch/tests/crash_watch_test.cpp
+++ b/libs/dispatch/tests/crash_watch_test.cpp
@@ -27,14 +27,9 @@
     CHECK_FALSE(crash(lethal, 1));
     CHECK_FALSE(crash(lethal, 2));
     CHECK(crash(lethal, 3));
-    CHECK(watch.due(now).empty());
-    REQUIRE(watch.next_due());
-    now = *watch.next_due();
-    REQUIRE(watch.due(now) == std::vector{lethal});
-    CHECK(watch.due(now).empty());
-    watch.hold_back(lethal, watch.memory(), now);
-    CHECK(watch.held_back(lethal, now) == 60s);
-    CHECK_FALSE(watch.held_back(usual, now));
+    CHECK_FALSE(watch.held_back(lethal, now + 299ms)); // Others may say that they served it.
+    CHECK(watch.held_back(lethal, now + 300ms) == 59'700ms);
+    CHECK_FALSE(watch.held_back(usual, now + 300ms));
     CHECK_FALSE(watch.held_back(lethal, now + 60s));
 }
 
@@ -45,12 +40,14 @@
     CHECK(watch.was_served(usual, now + 1s));
     CHECK_FALSE(watch.was_served(lethal, now));
     CHECK_FALSE(watch.was_served(usual, now + 61s));
-    crash(usual, 1);
-    crash(usual, 2);
-    CHECK(crash(usual, 3));
-    watch.cleared(usual);
-    CHECK(watch.due(now + 1s).empty());
-    CHECK_FALSE(crash(usual, 4));
+    crash_watch asking;
+    for (const std::uint64_t n : {1U, 2U, 3U}) {
+        CHECK_FALSE(crash(usual, n)); // Not where it was served.
+        CHECK(asking.crashed(usual, n, now) == (n == 3));
+    }
+    CHECK(asking.release(usual));
+    CHECK_FALSE(asking.held_back(usual, now + 1s));
+    CHECK_FALSE(asking.crashed(usual, 4, now));
 }
 
 // Guards against one crash that is told twice, or crashes long apart, as proof.
@@ -68,7 +65,7 @@
 // Guards against a lookup of a content that was dropped: several are served at one moment.
 TEST_CASE("crash_watch_contents_served_at_one_moment_are_dropped_in_order")
 {
-    crash_watch watch({.capacity = 2});
+    crash_watch watch({.served_capacity = 2});
     mono_time now{1h};
     for (const std::uint64_t content : {1U, 2U, 1U, 3U}) {
         watch.served({content}, now);
@@ -96,6 +93,59 @@
     CHECK(crash({100'000}, 3));
 }
 
+// Guards against knowledge that is lost with some nodes: 12 nodes, one of which sees each crash;
+// the nodes are replaced one after the other between the crashes, and each compares with one other
+// only.
+TEST_CASE("crash_watch_fleet_of_replaced_nodes_keeps_the_count")
+{
+    constexpr std::size_t fleet = 12;
+    constexpr content_fingerprint lethal{17};
+    std::vector<crash_watch> nodes(fleet);
+    mono_time now{1h};
+    const auto tell = [&](std::size_t from, std::size_t to) {
+        for (const auto& c : nodes[from].crashes(now)) {
+            nodes[to].merge(c, now);
+        }
+    };
+    for (std::uint64_t n = 1; n <= 3; ++n) {
+        nodes[n].crashed(lethal, n, now);
+        tell(n, n + 1); // All other messages of the crash are lost.
+        for (std::size_t replaced = 0; replaced < fleet; ++replaced) {
+            for (std::size_t i = 0; i < fleet; ++i) {
+                now += 10ms;
+                tell((i + replaced + 1) % fleet, i);
+            }
+            nodes[replaced] = crash_watch();
+            tell((replaced + 1) % fleet, replaced);
+        }
+    }
+    for (std::size_t i = 0; i < fleet; ++i) {
+        CHECK(nodes[i].held_back(lethal, now));
+        CHECK(nodes[i].digest(now) == nodes[0].digest(now));
+    }
+}
+
+// Guards against the count of one node that outlives the service which another node saw.
+TEST_CASE_METHOD(crash_watch_fixture, "crash_watch_release_wins_in_any_order")
+{
+    crash_watch other;
+    for (const std::uint64_t n : {1U, 2U, 3U}) {
+        crash(usual, n);
+        other.crashed(usual, n, now);
+    }
+    other.served(usual, now);
+    const auto before = watch.crashes(now);
+    for (const auto& c : other.crashes(now)) {
+        watch.merge(c, now);
+    }
+    for (const auto& c : before) {
+        other.merge(c, now);
+    }
+    CHECK_FALSE(watch.held_back(usual, now + 1s));
+    CHECK_FALSE(other.held_back(usual, now + 1s));
+    CHECK(watch.digest(now) == other.digest(now));
+}
+
 // Guards against a content that its callers send again so rarely that its crashes never add up.
 TEST_CASE_METHOD(crash_watch_fixture, "crash_watch_crashes_minutes_apart_add_up")
 {
--- a/libs/quarantine/include/quarantine/content_fingerprint.h
+++ b/libs/quarantine/include/quarantine/content_fingerprint.h
@@ -30,8 +30,9 @@
 content_fingerprint fingerprint_of(const service_name& service, std::string_view path,
                                    std::string_view body) noexcept;
 
-/// Whether an answer with this status shows that the target ran the content to a good end. A failure
-/// does not: a target that is in trouble may answer before it gets to what crashes the others.
+/// Whether an answer with this status shows that the target ran the content to a good end. A
+/// failure does not: a target that is in trouble may answer before it gets to what crashes the
+/// others.
 constexpr bool proves_harmless(unsigned status) noexcept
 {
     constexpr unsigned first_failure = 400;
--- a/libs/relay/src/crash_exchange.cpp
+++ b/libs/relay/src/crash_exchange.cpp
@@ -2,35 +2,57 @@
 
 #include "content_messages.h"
 
-#include "base/hash.h"
 #include "base/log_event.h"
 
 #include <algorithm>
-#include <map>
-#include <random>
 #include <utility>
 
 namespace trefoil {
 
 namespace {
 
-/// Nodes that count a content. One of them may be down.
-constexpr std::size_t counting_count = 2;
-
-/// Contents in one message. More than the slots of any target known; the rest is not reported.
+/// Contents in one message about a crash. More than the slots of any target known; the rest is not
+/// reported.
 constexpr std::size_t most_contents = 1024;
 
+/// Records in one message; twice what a node sends.
+constexpr std::size_t most_records = 4096;
+
+/// Time between two comparisons with other nodes. A node that missed a message has it within two or
+/// three, before a machine counts as in touch again.
+constexpr std::chrono::milliseconds compare_interval{1000};
+
+/// The same for a node that starts; it sends and runs requests meanwhile.
+constexpr std::chrono::milliseconds first_compare_interval{250};
+
+/// Nodes that a node asks at a time when it starts; some may be starting as well.
+constexpr std::size_t first_compare_count = 3;
+
+/// A node that found none running for longer counts as one after this time: all were started.
+constexpr std::chrono::seconds start_time{3};
+
 std::uint64_t new_crash_number()
 {
     std::random_device device;
     return std::uniform_int_distribution<std::uint64_t>()(device);
 }
 
+void log_content(const char* event, content_fingerprint content, std::size_t crashes)
+{
+    log_event(event).add("content", content.to_string()).add("crashes", crashes).warning();
+}
+
 } // namespace
 
 crash_exchange::crash_exchange(deadline_queue& deadlines, ways w)
-    : deadlines_(deadlines), ways_(std::move(w))
+    : deadlines_(deadlines), ways_(std::move(w)), random_(std::random_device{}())
+{
+}
+
+void crash_exchange::start()
 {
+    started_ = boot_clock::now();
+    compare();
 }
 
 void crash_exchange::answered(content_fingerprint content, unsigned status)
@@ -52,100 +74,129 @@
     return watch_.held_back(c, boot_clock::now());
 }
 
-std::vector<std::string> crash_exchange::counting_nodes(content_fingerprint content) const
-{
-    std::vector<std::pair<std::uint64_t, std::string>> ranked;
-    for (const auto& member : ways_.members()) {
-        const auto& address = member.name.str();
-        ranked.emplace_back(hash64(address, content.value), address);
-    }
-    const auto count = std::min(counting_count, ranked.size());
-    std::ranges::partial_sort(ranked, ranked.begin() + static_cast<std::ptrdiff_t>(count));
-    std::vector<std::string> nodes;
-    for (std::size_t i = 0; i < count; ++i) {
-        nodes.push_back(ranked[i].second);
-    }
-    return nodes;
-}
-
 void crash_exchange::target_crashed(const std::vector<content_fingerprint>& contents)
 {
-    const auto crash = new_crash_number();
     const auto now = boot_clock::now();
-    std::map<std::string, crash_message> messages;
+    crash_message message{new_crash_number(), {}};
+    std::vector<content_fingerprint> suspects;
     for (const auto content : contents) {
-        if (watch_.was_served(content, now)) {
+        if (watch_.was_served(content, now) || message.contents.size() == most_contents) {
             continue;
         }
-        for (const auto& node : counting_nodes(content)) {
-            auto& message = messages[node];
-            message.crash = crash;
-            if (message.contents.size() < most_contents) {
-                message.contents.push_back(content.value);
-            }
+        message.contents.push_back(content.value);
+        if (watch_.crashed(content, message.crash, now)) {
+            suspects.push_back(content);
         }
     }
     log_event("target_crashed")
+        .add("crash", message.crash)
         .add("running", contents.size())
-        .add("told_nodes", messages.size())
+        .add("not_served", message.contents.size())
         .warning();
-    for (const auto& [node, message] : messages) {
-        if (node != ways_.own_address) {
-            ways_.send(node, encode_message(node_message_kind::crash, message));
-            continue;
-        }
-        for (const auto content : message.contents) {
-            count({content}, crash);
-        }
+    if (!message.contents.empty()) {
+        send_to_all(encode_message(node_message_kind::crash, message));
+    }
+    for (const auto content : suspects) {
+        ask_all(content);
     }
 }
 
-void crash_exchange::count(content_fingerprint content, std::uint64_t crash)
+void crash_exchange::ask_all(content_fingerprint content)
 {
+    log_content("content_suspected", content, watch_.crashes_of(content));
+    if (asked_.size() == most_contents) {
+        asked_.clear(); // Answers that still come clear the content here and are compared later.
+    }
+    asked_.insert(content);
+    send_to_all(encode_message(node_message_kind::content_question,
+                               content_question_message{content.value}));
+}
+
+void crash_exchange::count_told(const crash_message& told)
+{
+    if (told.contents.size() > most_contents) {
+        throw invalid_node_message("too many contents of a crash");
+    }
     const auto now = boot_clock::now();
-    if (watch_.was_served(content, now)) {
-        log_event("crash_not_counted").add("content", content.to_string()).info();
-        return;
+    content_fingerprint worst;
+    std::size_t most = 0;
+    for (const auto value : told.contents) {
+        const content_fingerprint content{value};
+        watch_.crashed(content, told.crash, now);
+        if (const auto crashes = watch_.crashes_of(content); crashes > most) {
+            worst = content;
+            most = crashes;
+        }
     }
-    const bool is_at_bound = watch_.crashed(content, crash, now);
-    if (const auto crashes = watch_.crashes_of(content); crashes > 1) {
-        log_event("content_crashed_again")
-            .add("content", content.to_string())
-            .add("crashes", crashes)
-            .warning();
+    if (most > 1) {
+        log_content("content_crashed_again", worst, most);
     }
-    if (!is_at_bound) {
+}
+
+void crash_exchange::take_released(content_fingerprint content)
+{
+    const auto crashes = watch_.crashes_of(content);
+    if (!watch_.release(content)) {
         return;
     }
-    log_event("content_suspected").add("content", content.to_string()).warning();
-    send_to_all(encode_message(node_message_kind::content_question,
-                               content_question_message{content.value}));
-    if (const auto next = watch_.next_due()) {
-        deadlines_.at(*next, [this] { settle(); });
+    log_content("content_cleared", content, crashes);
+    if (asked_.erase(content) != 0) {
+        send_to_all(encode_message(node_message_kind::content_served,
+                                   content_served_message{content.value}));
     }
 }
 
-void crash_exchange::settle()
+std::optional<std::string> crash_exchange::reply_to_request(const records_request_message& request)
 {
-    for (const auto content : watch_.due(boot_clock::now())) {
-        const auto left = watch_.memory();
-        hold_back(content, left);
-        send_to_all(encode_message(
-            node_message_kind::hold_back,
-            hold_back_message{content.value, static_cast<std::uint32_t>(left.count())}));
+    const auto now = boot_clock::now();
+    if (!request.is_new && request.digest == watch_.digest(now)) {
+        return std::nullopt;
     }
-    if (const auto next = watch_.next_due()) {
-        deadlines_.at(*next, [this] { settle(); });
+    records_message reply{is_new_, {}};
+    for (const auto& c : watch_.crashes(now)) {
+        reply.records.push_back(
+            {c.content.value, c.crash, static_cast<std::uint32_t>(c.age.count()), c.released});
     }
+    return encode_message(node_message_kind::records, reply);
 }
 
-void crash_exchange::hold_back(content_fingerprint content, std::chrono::milliseconds left)
+void crash_exchange::take_records(const records_message& told)
 {
-    log_event("content_held_back")
-        .add("content", content.to_string())
-        .add("left_ms", left.count())
-        .warning();
-    watch_.hold_back(content, left, boot_clock::now());
+    if (told.records.size() > most_records) {
+        throw invalid_node_message("too many records of crashes");
+    }
+    const auto now = boot_clock::now();
+    const auto digest = watch_.digest(now);
+    for (const auto& r : told.records) {
+        watch_.merge({{r.content}, r.crash, std::chrono::milliseconds(r.age_ms), r.released}, now);
+    }
+    if (is_new_ && !told.is_new) {
+        is_new_ = false;
+        log_event("crash_records_learned").add("records", told.records.size()).info();
+    }
+    if (digest != watch_.digest(now)) {
+        log_event("crash_records_changed").add("told", told.records.size()).info();
+    }
+}
+
+void crash_exchange::compare()
+{
+    const auto now = boot_clock::now();
+    auto peers = ways_.members();
+    std::erase_if(peers, [this](const auto& m) { return m.name.str() == ways_.own_address; });
+    if (is_new_ && now - started_ >= start_time) {
+        is_new_ = false;
+    }
+    const auto request = encode_message(node_message_kind::records_request,
+                                        records_request_message{watch_.digest(now), is_new_});
+    const auto count = std::min(is_new_ ? first_compare_count : 1, peers.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        std::uniform_int_distribution<std::size_t> any(i, peers.size() - 1);
+        std::swap(peers[i], peers[any(random_)]);
+        ways_.send(peers[i].name.str(), request);
+    }
+    deadlines_.at(now + (is_new_ ? first_compare_interval : compare_interval),
+                  [this] { compare(); });
 }
 
 void crash_exchange::send_to_all(const std::string& bytes)
@@ -159,21 +210,13 @@
 
 std::optional<std::string> crash_exchange::reply_to(const raw_node_message& message)
 {
-    const auto now = boot_clock::now();
     switch (message.kind) {
-    case node_message_kind::crash: {
-        const auto told = decode_fields<crash_message>(message);
-        if (told.contents.size() > most_contents) {
-            throw invalid_node_message("too many contents of a crash");
-        }
-        for (const auto content : told.contents) {
-            count({content}, told.crash);
-        }
+    case node_message_kind::crash:
+        count_told(decode_fields<crash_message>(message));
         break;
-    }
     case node_message_kind::content_question: {
         const auto content = decode_fields<content_question_message>(message).content;
-        if (watch_.was_served({content}, now)) {
+        if (watch_.was_served({content}, boot_clock::now())) {
             log_event("content_was_served")
                 .add("content", content_fingerprint{content}.to_string())
                 .info();
@@ -182,20 +225,14 @@
         }
         break;
     }
-    case node_message_kind::content_served: {
-        const content_fingerprint content{decode_fields<content_served_message>(message).content};
-        log_event("content_cleared")
-            .add("content", content.to_string())
-            .add("crashes", watch_.crashes_of(content))
-            .info();
-        watch_.cleared(content);
+    case node_message_kind::content_served:
+        take_released({decode_fields<content_served_message>(message).content});
         break;
-    }
-    case node_message_kind::hold_back: {
-        const auto told = decode_fields<hold_back_message>(message);
-        hold_back({told.content}, std::chrono::milliseconds(told.left_ms));
+    case node_message_kind::records_request:
+        return reply_to_request(decode_fields<records_request_message>(message));
+    case node_message_kind::records:
+        take_records(decode_fields<records_message>(message));
         break;
-    }
     default:
         break;
     }
--- a/libs/relay/src/crash_exchange.h
+++ b/libs/relay/src/crash_exchange.h
@@ -8,14 +8,18 @@
 
 #include <functional>
 #include <optional>
+#include <random>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace trefoil {
 
-/// Counts the crashes of contents together with the other nodes, and tells them what to hold back.
-/// Each content is counted by two nodes, so that one may be lost. Messages to all nodes are sent
-/// only for a content that ran at three crashes.
+/// Tells the other nodes of crashes and learns of theirs, so that all know what to hold back.
+///
+/// A crash is told to all nodes at once. Each node also compares its records with those of another
+/// node once a second, which repairs what was lost on the way, and a node that starts asks several
+/// nodes until one that has been running for longer answered.
 class crash_exchange {
 public:
     struct ways {
@@ -27,6 +31,9 @@
 
     crash_exchange(deadline_queue& deadlines, ways w);
 
+    /// Begins to compare records.
+    void start();
+
     /// The own target answered a request with this content.
     void answered(content_fingerprint content, unsigned status);
 
@@ -37,22 +44,30 @@
     std::optional<std::chrono::milliseconds> held_back(content_fingerprint content) const;
 
     /// False: no content is held back.
-    bool holds_any() const noexcept { return watch_.holds_any(); }
+    bool holds_any() const noexcept { return watch_.has_suspects(); }
 
     /// Handles a message of a peer. Returns the bytes to send back, if any. Throws
     /// invalid_node_message.
     std::optional<std::string> reply_to(const raw_node_message& message);
 
 private:
-    void count(content_fingerprint content, std::uint64_t crash);
-    void settle();
-    void hold_back(content_fingerprint content, std::chrono::milliseconds left);
-    std::vector<std::string> counting_nodes(content_fingerprint content) const;
+    void count_told(const struct crash_message& told);
+    void take_released(content_fingerprint content);
+    std::optional<std::string> reply_to_request(const struct records_request_message& request);
+    void take_records(const struct records_message& told);
+    void ask_all(content_fingerprint content);
+    void compare();
     void send_to_all(const std::string& bytes);
 
     deadline_queue& deadlines_;
     ways ways_;
     crash_watch watch_;
+    /// Suspects of which this node asked whether they were served.
+    std::set<content_fingerprint> asked_;
+    std::mt19937_64 random_;
+    mono_time started_;
+    /// No node that has been running for longer has told its records yet.
+    bool is_new_ = true;
 };
 
 } // namespace trefoil
--- a/libs/relay/src/node_message.h
+++ b/libs/relay/src/node_message.h
@@ -28,7 +28,9 @@
     crash = 10,
     content_question = 11,
     content_served = 12,
-    hold_back = 13,
+    // 13 was used by earlier releases.
+    records_request = 14,
+    records = 15,
 };
 
 /// Admit levels in messages are in thousandths.
--- a/libs/relay/src/peer_link.cpp
+++ b/libs/relay/src/peer_link.cpp
@@ -187,9 +187,11 @@
             send_control(std::move(*reply));
         }
         break;
+    case node_message_kind::crash:
     case node_message_kind::content_question:
     case node_message_kind::content_served:
-    case node_message_kind::hold_back:
+    case node_message_kind::records_request:
+    case node_message_kind::records:
         if (auto reply = handlers_.contents(message)) {
             send_control(std::move(*reply));
         }
--- a/libs/relay/src/peer_session.cpp
+++ b/libs/relay/src/peer_session.cpp
@@ -87,7 +87,8 @@
     case node_message_kind::crash:
     case node_message_kind::content_question:
     case node_message_kind::content_served:
-    case node_message_kind::hold_back:
+    case node_message_kind::records_request:
+    case node_message_kind::records:
         if (auto reply = handlers_.contents(message)) {
             stream_->write(std::move(*reply));
         }
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -366,6 +366,7 @@
         impl_->metrics_page->start();
     }
     impl_->sweep();
+    impl_->crashes.start();
     log_event("node_started")
         .add("vm", impl_->settings.vm)
         .add("zone", impl_->settings.zone)
