Count crashes of a content for ten minutes, and hold it back for longer each time

A content sent every two minutes crashed a target each time and was never held back, since crashes counted for 60 s; and after 60 s held back, three more crashes were needed. Cause: one time served as memory of crashes, memory of service and time to hold back. Now crashes count for ten minutes from the latest on (as in crash_suspects), and each crash after the third doubles the time held back, up to as much.

--- a/libs/dispatch/include/dispatch/crash_watch.h
+++ b/libs/dispatch/include/dispatch/crash_watch.h
@@ -21,9 +21,13 @@
     /// Crashes after which a content is held back. One or two may be chance: a crash takes along
     /// all that its target was running.
     std::size_t crashes = 3;
-    /// How long a content counts as served, and how long it is held back. Far longer than a target
-    /// takes to start again, and than callers keep trying.
+    /// How long a content counts as served, and how long it is held back at first. Far longer than
+    /// a target takes to start again, and than callers keep trying.
     std::chrono::seconds memory{60};
+    /// How long crashes count together, from the latest on, as in crash_suspects. A content that is
+    /// still sent after it was held back is held back for twice as long with each further crash, up
+    /// to this.
+    std::chrono::seconds retention{600};
     /// Time from the crash that makes a content suspect until it is held back. In it the other
     /// nodes may say that a target served the content. Several round trips.
     std::chrono::milliseconds answer_time{300};
@@ -101,6 +105,8 @@
     /// Drops what is too old and, if there is no room, the records that matter least.
     void make_room(mono_time now);
     void note_changed(content_fingerprint content, const history& h);
+    /// How long a content with so many crashes is held back.
+    std::chrono::seconds hold_time(std::size_t crashes) const;
     /// The entries to tell others, in order.
     std::vector<const history_map::value_type*> told(mono_time now) const;
 
--- a/libs/dispatch/src/crash_watch.cpp
+++ b/libs/dispatch/src/crash_watch.cpp
@@ -115,7 +115,7 @@
         suspects_.erase(it->second);
     }
     std::erase_if(histories_, [&](const auto& entry) {
-        const bool is_old = now - entry.second.last() > options_.memory;
+        const bool is_old = now - entry.second.last() > options_.retention;
         if (is_old) {
             suspects_.erase(entry.first);
         }
@@ -126,7 +126,7 @@
 bool crash_watch::add(content_fingerprint content, const sighting& s, mono_time now)
 {
     auto it = histories_.find(content);
-    if (it != histories_.end() && now - it->second.last() > options_.memory) {
+    if (it != histories_.end() && now - it->second.last() > options_.retention) {
         suspects_.erase(content);
         histories_.erase(it);
         it = histories_.end();
@@ -160,7 +160,7 @@
 {
     // An age below zero would lengthen the time for which the content is held back.
     const auto age = std::max(told.age, std::chrono::milliseconds(0));
-    if (age <= options_.memory) {
+    if (age <= options_.retention) {
         const bool released = told.released || was_served(told.content, now);
         add(told.content, {told.crash, now - age, released}, now);
     }
@@ -170,7 +170,7 @@
 {
     std::vector<const history_map::value_type*> order;
     for (const auto& entry : histories_) {
-        if (now - entry.second.last() <= options_.memory) {
+        if (now - entry.second.last() <= options_.retention) {
             order.push_back(&entry);
         }
     }
@@ -214,6 +214,12 @@
     return it == histories_.end() ? 0 : it->second.counted();
 }
 
+std::chrono::seconds crash_watch::hold_time(std::size_t crashes) const
+{
+    const auto doublings = crashes - options_.crashes; // At most largest_history.
+    return std::min(options_.memory * (1U << doublings), options_.retention);
+}
+
 std::optional<std::chrono::milliseconds> crash_watch::held_back(content_fingerprint content,
                                                                 mono_time now) const
 {
@@ -221,7 +227,7 @@
         return std::nullopt;
     }
     const auto& h = histories_.at(content);
-    const auto until = h.time_of(h.counted()) + options_.memory;
+    const auto until = h.time_of(h.counted()) + hold_time(h.counted());
     if (now < h.time_of(options_.crashes) + options_.answer_time || now >= until) {
         return std::nullopt;
     }
