Drop the contents with fewest crashes first when there is no room

When many targets crash, the contents that ran there push out the oldest suspect, which is the one that has crashed targets for longest; its count then began anew. Cause: the bound on memory went by age alone. Now contents with fewest crashes go first, the oldest of them before others, and half at a time, so that a mass crash does not search the list for each.

--- a/libs/dispatch/src/crash_watch.cpp
+++ b/libs/dispatch/src/crash_watch.cpp
@@ -103,17 +103,6 @@
     if (histories_.size() < options_.capacity) {
         return;
     }
-    std::vector<std::pair<mono_time, content_fingerprint>> order;
-    for (const auto& [content, h] : histories_) {
-        order.emplace_back(h.last(), content);
-    }
-    // Half at a time, since many contents come with the crashes of a service.
-    const auto kept_from = order.begin() + static_cast<std::ptrdiff_t>(order.size() / 2);
-    std::ranges::nth_element(order, kept_from);
-    for (auto it = order.begin(); it != kept_from; ++it) {
-        histories_.erase(it->second);
-        suspects_.erase(it->second);
-    }
     std::erase_if(histories_, [&](const auto& entry) {
         const bool is_old = now - entry.second.last() > options_.retention;
         if (is_old) {
@@ -121,6 +110,21 @@
         }
         return is_old;
     });
+    if (histories_.size() < options_.capacity) {
+        return;
+    }
+    std::vector<std::tuple<std::size_t, mono_time, content_fingerprint>> order;
+    for (const auto& [content, h] : histories_) {
+        order.emplace_back(h.crashes.size(), h.last(), content);
+    }
+    // Half at a time, since many contents come with the crashes of a service.
+    const auto kept_from = order.begin() + static_cast<std::ptrdiff_t>(order.size() / 2);
+    std::ranges::nth_element(order, kept_from);
+    for (auto it = order.begin(); it != kept_from; ++it) {
+        const auto content = std::get<content_fingerprint>(*it);
+        histories_.erase(content);
+        suspects_.erase(content);
+    }
 }
 
 bool crash_watch::add(content_fingerprint content, const sighting& s, mono_time now)
