Know a crashing content by its path and body

What callers saw: a request sent again with another query, method or host counted as another content, and eight queries crashed eight targets. Cause: one fingerprint of method, host, query, path and body had to serve both for knowing a repeat and for telling harmless requests apart.

Now a content has three identities: the exact request; path and body with the calling service; path and body alone. Crashes and service count for each by itself. A wide identity that harmless requests share is cleared by them; a narrow one is not.

The bounds of the lists are three times as large, and the test of the bound is scaled with them.

--- a/libs/dispatch/include/dispatch/crash_watch.h
+++ b/libs/dispatch/include/dispatch/crash_watch.h
@@ -32,9 +32,10 @@
     /// nodes may say that a target served the content. Several round trips.
     std::chrono::milliseconds answer_time{300};
     /// Bound on the contents of which crashes are known.
-    std::size_t capacity = 1024;
-    /// Bound on the contents that were served.
-    std::size_t served_capacity = 4096;
+    std::size_t capacity = 3072;
+    /// Bound on the contents that were served: three fingerprints for each of the requests that a
+    /// target serves within `memory`.
+    std::size_t served_capacity = 12288;
 };
 
 /// Which contents of requests crash the targets that run them.
--- a/libs/dispatch/tests/crash_watch_test.cpp
+++ b/libs/dispatch/tests/crash_watch_test.cpp
@@ -96,13 +96,13 @@
 // Guards against memory that grows with the requests.
 TEST_CASE_METHOD(crash_watch_fixture, "crash_watch_remembers_the_latest_within_its_bound")
 {
-    for (std::uint64_t i = 0; i < 20'000; ++i) {
+    for (std::uint64_t i = 0; i < 60'000; ++i) {
         now += 1ms;
-        watch.served({i % 9'000}, now);
+        watch.served({i % 27'000}, now);
         crash({i + 100'000}, i);
     }
-    CHECK(watch.was_served({19'999 % 9'000}, now));
-    CHECK_FALSE(watch.was_served({(19'999 - 5'000) % 9'000}, now));
+    CHECK(watch.was_served({59'999 % 27'000}, now));
+    CHECK_FALSE(watch.was_served({(59'999 - 15'000) % 27'000}, now));
     // The oldest suspects are dropped.
     crash({100'000}, 1);
     crash({100'000}, 2);
--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -1,6 +1,5 @@
 #include "call_forwarder.h"
 
-#include "content_messages.h"
 #include "http_text.h"
 
 #include <algorithm>
@@ -139,8 +138,8 @@
     if (!crashes_.holds_any()) {
         return std::nullopt; // Saves the comparison of large bodies.
     }
-    return crashes_.held_back(
-        content_of(request.method, request.host, request.target, request.body));
+    return crashes_.held_back(scopes_of(
+        {request.method, request.host, request.target, request.body, settings_.service.str()}));
 }
 
 void call_forwarder::note_lineage(pending_call& call)
--- a/libs/relay/src/content_messages.h
+++ b/libs/relay/src/content_messages.h
@@ -1,10 +1,6 @@
 #pragma once
 
-#include "quarantine/content_fingerprint.h"
-
 #include <cstdint>
-#include <string>
-#include <string_view>
 #include <vector>
 
 #include <msgpack.hpp>
@@ -63,13 +59,4 @@
     MSGPACK_DEFINE(is_new, records)
 };
 
-/// Content of a request as nodes compare it: what it asks for, and its body.
-inline content_fingerprint content_of(std::string_view method, std::string_view host,
-                                      std::string_view target, std::string_view body)
-{
-    std::string path(method);
-    path.append(" ").append(host).append(target);
-    return fingerprint_of(service_name(), path, body);
-}
-
 } // namespace trefoil
--- a/libs/relay/src/crash_exchange.cpp
+++ b/libs/relay/src/crash_exchange.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// Contents in one message about a crash. More than the slots of any target known; the rest is not
-/// reported.
+/// Fingerprints in one message about a crash: three for each request, and more than the slots of
+/// any target known. The rest is not reported.
 constexpr std::size_t most_contents = 1024;
 
 /// Records in one message; twice what a node sends.
@@ -55,37 +55,49 @@
     compare();
 }
 
-void crash_exchange::answered(content_fingerprint content, unsigned status)
+void crash_exchange::answered(const content_scopes& content, unsigned status)
 {
-    if (const auto crashes = watch_.crashes_of(content); crashes > 0) {
+    if (const auto crashes = watch_.crashes_of(content.request); crashes > 0) {
         log_event("suspect_answered")
-            .add("content", content.to_string())
+            .add("content", content.request.to_string())
             .add("status", status)
             .add("crashes", crashes)
             .info();
     }
-    if (proves_harmless(status)) {
-        watch_.served(content, boot_clock::now());
+    if (!proves_harmless(status)) {
+        return;
+    }
+    for (const auto scope : content.all()) {
+        watch_.served(scope, boot_clock::now());
     }
 }
 
-std::optional<std::chrono::milliseconds> crash_exchange::held_back(content_fingerprint c) const
+std::optional<std::chrono::milliseconds>
+crash_exchange::held_back(const content_scopes& content) const
 {
-    return watch_.held_back(c, boot_clock::now());
+    std::optional<std::chrono::milliseconds> longest;
+    for (const auto scope : content.all()) {
+        longest = std::max(longest, watch_.held_back(scope, boot_clock::now()));
+    }
+    return longest;
 }
 
-void crash_exchange::target_crashed(const std::vector<content_fingerprint>& contents)
+void crash_exchange::target_crashed(const std::vector<content_scopes>& contents)
 {
     const auto now = boot_clock::now();
     crash_message message{new_crash_number(), {}};
     std::vector<content_fingerprint> suspects;
-    for (const auto content : contents) {
-        if (watch_.was_served(content, now) || message.contents.size() == most_contents) {
-            continue;
-        }
-        message.contents.push_back(content.value);
-        if (watch_.crashed(content, message.crash, now)) {
-            suspects.push_back(content);
+    std::set<content_fingerprint> scopes;
+    for (const auto& content : contents) {
+        for (const auto scope : content.all()) {
+            if (message.contents.size() == most_contents || watch_.was_served(scope, now) ||
+                !scopes.insert(scope).second) {
+                continue;
+            }
+            message.contents.push_back(scope.value);
+            if (watch_.crashed(scope, message.crash, now)) {
+                suspects.push_back(scope);
+            }
         }
     }
     log_event("target_crashed")
--- a/libs/relay/src/crash_exchange.h
+++ b/libs/relay/src/crash_exchange.h
@@ -3,6 +3,7 @@
 #include "deadline_queue.h"
 #include "node_codec.h"
 
+#include "dispatch/content_scopes.h"
 #include "dispatch/crash_watch.h"
 #include "spread/spread_member.h"
 
@@ -35,13 +36,13 @@
     void start();
 
     /// The own target answered a request with this content.
-    void answered(content_fingerprint content, unsigned status);
+    void answered(const content_scopes& content, unsigned status);
 
     /// The own target crashed while it ran these.
-    void target_crashed(const std::vector<content_fingerprint>& contents);
+    void target_crashed(const std::vector<content_scopes>& contents);
 
     /// Time until the content may be tried again; none if it is not held back.
-    std::optional<std::chrono::milliseconds> held_back(content_fingerprint content) const;
+    std::optional<std::chrono::milliseconds> held_back(const content_scopes& content) const;
 
     /// False: no content is held back.
     bool holds_any() const noexcept { return watch_.has_suspects(); }
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -1,6 +1,5 @@
 #include "local_target.h"
 
-#include "content_messages.h"
 #include "http_text.h"
 
 #include <algorithm>
@@ -56,7 +55,8 @@
                                call.nested, deadline,   request_deadline};
     const bool fits = has_room_for(call);
     body_bytes_ += call.body.size();
-    const auto content = content_of(call.method, call.host, call.target, call.body);
+    const auto content =
+        scopes_of({call.method, call.host, call.target, call.body, caller_service});
     calls_.emplace(ticket, running_call{std::move(call), content, caller_service, std::move(done),
                                         nullptr, deadline, request_deadline, now});
     if (draining_ || !fits || crashes_.held_back(content)) {
@@ -167,7 +167,7 @@
         const auto load = queue_.load();
         log_.write(log_event("call_turned_away")
                        .add("id", it->second.call.id)
-                       .add("content", it->second.content.to_string())
+                       .add("content", it->second.content.request.to_string())
                        .add("held_back", crashes_.held_back(it->second.content).has_value())
                        .add("draining", draining_)
                        .add("body_bytes", body_bytes_)
@@ -275,7 +275,7 @@
     if (log_.begin(now)) {
         log_.write(log_event("call_broken_off")
                        .add("id", call.call.id)
-                       .add("content", call.content.to_string())
+                       .add("content", call.content.request.to_string())
                        .add("running", load().running));
     }
     broken_off_.push_back(call.content);
--- a/libs/relay/src/local_target.h
+++ b/libs/relay/src/local_target.h
@@ -9,6 +9,7 @@
 #include "relay/http_get_client.h"
 
 #include "dispatch/admit_level.h"
+#include "dispatch/content_scopes.h"
 #include "dispatch/route_levels.h"
 #include "dispatch/run_queue.h"
 #include "dispatch/target_entry.h"
@@ -78,7 +79,7 @@
 private:
     struct running_call {
         call_message call;
-        content_fingerprint content;
+        content_scopes content;
         std::string caller_service;
         answer_handler done;
         std::shared_ptr<upstream_exchange> exchange;
@@ -130,7 +131,7 @@
     std::size_t most_body_bytes_;
     std::uint64_t last_ticket_ = 0;
     /// Contents whose connections the target ended, until it is known whether it crashed.
-    std::vector<content_fingerprint> broken_off_;
+    std::vector<content_scopes> broken_off_;
     bool is_check_due_ = false;
     mono_time armed_for_ = mono_time::max();
     double logged_level_ = 1.0;
