See the crash of a target that falls silent or is back at once

What callers saw: a request that ended targets without a sign on their connections, or whose targets were back within milliseconds, was sent on without end (6 crashes of 6 requests). Cause: a crash was known by a single sign, a connection refused 30 ms after one had been broken off. Class: an event inferred from one look at one moment.

target_watch, without input or output, keeps the requests that ended without an answer (broken off, at the deadline, given up) for ten seconds. A target has crashed if it takes no connection (refused, or none for 500 ms; also tried once when it says nothing for a second while it has requests), or if another one is there, by its entry's id or start or by its own word, without an announced end. What was handed over in the last second counts only while the target is known to be gone, since it may be with the new one.

Cost: at most one connection to the target for each silence of over a second.

--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -41,6 +41,7 @@
 void local_target::set_entry(const target_entry& entry)
 {
     queue_.set_slots(std::max(1U, entry.slots));
+    report_crash("started anew", watch_.seen(entry.id, entry.leaving, boot_clock::now()));
     advance();
 }
 
@@ -142,6 +143,7 @@
                                    expected,    c.caller_service,   c.call.idempotent,
                                    c.deadline,  c.call.answer_limit};
     runs_[c.call.id] = {c.call.route, c.call.rank, c.request_deadline};
+    watch_.started(ticket, c.content, boot_clock::now());
     c.exchange = client_.start(
         request, [this, ticket](upstream_result result) { on_result(ticket, std::move(result)); });
 }
@@ -229,6 +231,8 @@
         .info();
     if (is_known) {
         identity_.learned(std::string(*id));
+        report_crash("has another id",
+                     watch_.seen({std::string(*id), 0}, false, boot_clock::now()));
     }
     for (const auto ticket : std::exchange(awaiting_identity_, {})) {
         const auto it = calls_.find(ticket);
@@ -251,7 +255,7 @@
         return;
     }
     if (const auto it = calls_.find(ticket); it != calls_.end()) {
-        note_content(it->second, result);
+        note_result(ticket, it->second, result);
     }
     answer_message answer;
     answer.outcome = static_cast<std::uint8_t>(result.outcome);
@@ -263,14 +267,29 @@
     advance();
 }
 
-void local_target::note_content(const running_call& call, const upstream_result& result)
+void local_target::note_result(std::uint64_t ticket, const running_call& call,
+                               const upstream_result& result)
 {
+    const auto now = boot_clock::now();
     if (result.outcome == call_outcome::answered) {
         crashes_.answered(call.content, result.answer.status);
     }
-    if (!result.is_broken_off) {
-        return;
+    if (result.is_broken_off || result.is_timed_out) {
+        watch_.unanswered(ticket, now);
+    }
+    else if (result.outcome == call_outcome::unreachable) {
+        watch_.withdrawn(ticket);
+    }
+    else {
+        watch_.answered(ticket, now);
+    }
+    if (result.is_broken_off) {
+        note_broken_off(call);
     }
+}
+
+void local_target::note_broken_off(const running_call& call)
+{
     const auto now = boot_clock::now();
     if (log_.begin(now)) {
         log_.write(log_event("call_broken_off")
@@ -278,18 +297,33 @@
                        .add("content", call.content.request.to_string())
                        .add("running", load().running));
     }
-    broken_off_.push_back(call.content);
     if (!std::exchange(is_check_due_, true)) {
         deadlines_.at(now + alive_check_delay, [this] { check_alive(); });
     }
 }
 
+void local_target::look_if_silent()
+{
+    if (watch_.is_silent(boot_clock::now()) && !std::exchange(is_check_due_, true)) {
+        check_alive();
+    }
+}
+
+void local_target::report_crash(const char* sign, const target_watch::contents& running)
+{
+    if (running.empty()) {
+        return;
+    }
+    log_event("target_ended").add("sign", sign).add("running", running.size()).warning();
+    crashes_.target_crashed(running);
+}
+
 void local_target::check_alive()
 {
     const auto socket = std::make_shared<tcp::socket>(context_);
     deadlines_.at(boot_clock::now() + alive_check_timeout, [weak = std::weak_ptr(socket)] {
         if (const auto open = weak.lock()) {
-            boost::system::error_code ignored; // Ends the attempt, which then counts as no crash.
+            boost::system::error_code ignored; // Ends the attempt.
             open->close(ignored);
         }
     });
@@ -299,13 +333,14 @@
 void local_target::on_checked(boost::system::error_code error)
 {
     is_check_due_ = false;
-    const auto contents = std::exchange(broken_off_, {});
     log_event("target_checked")
         .add("result", error ? error.message() : std::string("accepts connections"))
-        .add("broken_off", contents.size())
         .info();
     if (error == asio::error::connection_refused) {
-        crashes_.target_crashed(contents);
+        report_crash("refuses connections", watch_.gone(boot_clock::now()));
+    }
+    else if (error) {
+        report_crash("takes no connection", watch_.gone(boot_clock::now()));
     }
 }
 
@@ -357,6 +392,7 @@
     }
     if (it->second.exchange) {
         upstream_client::cancel(it->second.exchange);
+        watch_.unanswered(ticket, boot_clock::now());
     }
     finish(ticket, false, {});
     advance();
--- a/libs/relay/src/local_target.h
+++ b/libs/relay/src/local_target.h
@@ -14,6 +14,7 @@
 #include "dispatch/run_queue.h"
 #include "dispatch/target_entry.h"
 #include "dispatch/target_identity.h"
+#include "dispatch/target_watch.h"
 
 #include <cstdint>
 #include <functional>
@@ -52,6 +53,9 @@
     /// The answer is no longer wanted. Work that may run once only is finished all the same.
     void cancel(std::uint64_t ticket);
 
+    /// Looks at the target if it says nothing although it has requests. To be called regularly.
+    void look_if_silent();
+
     /// Turns new requests away from now on.
     void start_draining() { draining_ = true; }
 
@@ -99,7 +103,9 @@
     void ask_identity();
     void on_identity(const http_get_result& status);
     void on_result(std::uint64_t ticket, upstream_result result);
-    void note_content(const running_call& call, const upstream_result& result);
+    void note_result(std::uint64_t ticket, const running_call& call, const upstream_result& result);
+    void note_broken_off(const running_call& call);
+    void report_crash(const char* sign, const target_watch::contents& running);
     /// Connects to the target, to see whether it crashed or only ended a connection.
     void check_alive();
     void on_checked(boost::system::error_code error);
@@ -130,8 +136,7 @@
     std::size_t body_bytes_ = 0;
     std::size_t most_body_bytes_;
     std::uint64_t last_ticket_ = 0;
-    /// Contents whose connections the target ended, until it is known whether it crashed.
-    std::vector<content_scopes> broken_off_;
+    target_watch watch_;
     bool is_check_due_ = false;
     mono_time armed_for_ = mono_time::max();
     double logged_level_ = 1.0;
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -278,6 +278,7 @@
             log_event("target_dropped").add("target", id).add("reason", "not confirmed").info();
         }
         forwarder.close_unused_links(now);
+        local.look_if_silent();
         deadlines.at(now + sweep_interval, [this] { sweep(); });
     }
 
--- a/libs/relay/src/upstream_client.h
+++ b/libs/relay/src/upstream_client.h
@@ -41,6 +41,8 @@
     bool is_misdirected = false;
     /// The target ended the connection before its answer was whole.
     bool is_broken_off = false;
+    /// The answer was not there at the deadline.
+    bool is_timed_out = false;
 };
 
 /// Sends requests to the own target over kept connections, one request at a time on each. A request
--- a/libs/relay/src/upstream_exchange.cpp
+++ b/libs/relay/src/upstream_exchange.cpp
@@ -261,7 +261,9 @@
 void upstream_exchange::on_deadline()
 {
     if (done_) {
-        finish_lost();
+        upstream_result late;
+        late.is_timed_out = true;
+        finish(std::move(late));
     }
 }
 
