Tell the own failures of a look at a target from its end, and the latest requests first

Read again after the last change: any error of the look counted as the target's end, also a want of descriptors of the node itself; a request refused for its id stayed among the running ones; and a report of a crash named the oldest unanswered requests first, of which the bound on its length keeps too many. target_watch_latest_unanswered_request_comes_first is written with the change; the other two have no test.

--- a/libs/dispatch/include/dispatch/target_watch.h
+++ b/libs/dispatch/include/dispatch/target_watch.h
@@ -65,7 +65,7 @@
     };
 
     bool is_earlier(const target_id& id) const;
-    /// Takes what ended without an answer, and what has been running for so long.
+    /// Takes what ended without an answer, the latest first, and what has been running for so long.
     contents take(std::chrono::milliseconds running_for, mono_time now);
 
     target_watch_options options_;
--- a/libs/dispatch/src/target_watch.cpp
+++ b/libs/dispatch/src/target_watch.cpp
@@ -56,9 +56,9 @@
 target_watch::contents target_watch::take(std::chrono::milliseconds running_for, mono_time now)
 {
     contents result;
-    for (const auto& [ended, content] : unanswered_) {
-        if (now - ended <= options_.memory) {
-            result.push_back(content);
+    for (auto it = unanswered_.rbegin(); it != unanswered_.rend(); ++it) {
+        if (now - it->first <= options_.memory) {
+            result.push_back(it->second);
         }
     }
     unanswered_.clear();
--- a/libs/dispatch/tests/target_watch_test.cpp
+++ b/libs/dispatch/tests/target_watch_test.cpp
@@ -103,3 +103,16 @@
     now += 3s;
     CHECK(watch.seen(other, false, now).empty());
 }
+
+// Guards against the request that crashed the target, cut from a report that is too long.
+TEST_CASE_METHOD(target_watch_fixture, "target_watch_latest_unanswered_request_comes_first")
+{
+    for (std::uint64_t i = 1; i <= 1000; ++i) {
+        start(i);
+        now += 1ms;
+        watch.unanswered(i, now);
+    }
+    const auto crashed = numbers_of(watch.gone(now));
+    CHECK(crashed.size() == 512);
+    CHECK(crashed.front() == 1000);
+}
--- a/libs/relay/src/crash_exchange.cpp
+++ b/libs/relay/src/crash_exchange.cpp
@@ -13,7 +13,7 @@
 
 /// Fingerprints in one message about a crash: three for each request, and more than the slots of
 /// any target known. The rest is not reported.
-constexpr std::size_t most_contents = 1024;
+constexpr std::size_t most_contents = 2048;
 
 /// Records in one message; twice what a node sends.
 constexpr std::size_t most_records = 4096;
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -251,8 +251,11 @@
 
 void local_target::on_result(std::uint64_t ticket, upstream_result result)
 {
-    if (result.is_misdirected && await_identity(ticket)) {
-        return;
+    if (result.is_misdirected) {
+        watch_.withdrawn(ticket); // It was not run, and is handed over again with the right id.
+        if (await_identity(ticket)) {
+            return;
+        }
     }
     if (const auto it = calls_.find(ticket); it != calls_.end()) {
         note_result(ticket, it->second, result);
@@ -339,9 +342,10 @@
     if (error == asio::error::connection_refused) {
         report_crash("refuses connections", watch_.gone(boot_clock::now()));
     }
-    else if (error) {
+    else if (error == asio::error::operation_aborted || error == asio::error::timed_out) {
         report_crash("takes no connection", watch_.gone(boot_clock::now()));
     }
+    // Other errors, for example for want of descriptors, are this node's own.
 }
 
 void local_target::finish(std::uint64_t ticket, bool completed, answer_message answer)
