Compare records of crashes on the way of published state

Trial before: a question each second to a random node keeps a connection watched by pings for three seconds each time. The question now goes along with that for published state, which each node asks a random node twice a second; only a node that starts asks by itself, three nodes each 500 ms, until one that has been running for longer answered, or for 3 s.

--- a/libs/relay/src/crash_exchange.cpp
+++ b/libs/relay/src/crash_exchange.cpp
@@ -18,15 +18,11 @@
 /// Records in one message; twice what a node sends.
 constexpr std::size_t most_records = 4096;
 
-/// Time between two comparisons with other nodes. A node that missed a message has it within two or
-/// three, before a machine counts as in touch again.
-constexpr std::chrono::milliseconds compare_interval{1000};
-
-/// The same for a node that starts; it sends and runs requests meanwhile.
-constexpr std::chrono::milliseconds first_compare_interval{250};
+/// Time between the questions of a node that starts; it sends and runs requests meanwhile.
+constexpr std::chrono::milliseconds first_question_interval{500};
 
 /// Nodes that a node asks at a time when it starts; some may be starting as well.
-constexpr std::size_t first_compare_count = 3;
+constexpr std::size_t first_question_count = 3;
 
 /// A node that found none running for longer counts as one after this time: all were started.
 constexpr std::chrono::seconds start_time{3};
@@ -52,7 +48,7 @@
 void crash_exchange::start()
 {
     started_ = boot_clock::now();
-    compare();
+    ask_for_records();
 }
 
 void crash_exchange::answered(const content_scopes& content, unsigned status)
@@ -197,24 +193,28 @@
     }
 }
 
-void crash_exchange::compare()
+std::string crash_exchange::request_text() const
+{
+    return encode_message(node_message_kind::records_request,
+                          records_request_message{watch_.digest(boot_clock::now()), is_new_});
+}
+
+void crash_exchange::ask_for_records()
 {
     const auto now = boot_clock::now();
+    is_new_ = is_new_ && now - started_ < start_time;
+    if (!is_new_) {
+        return;
+    }
     auto peers = ways_.members();
     std::erase_if(peers, [this](const auto& m) { return m.name.str() == ways_.own_address; });
-    if (is_new_ && now - started_ >= start_time) {
-        is_new_ = false;
-    }
-    const auto request = encode_message(node_message_kind::records_request,
-                                        records_request_message{watch_.digest(now), is_new_});
-    const auto count = std::min(is_new_ ? first_compare_count : 1, peers.size());
+    const auto count = std::min(first_question_count, peers.size());
     for (std::size_t i = 0; i < count; ++i) {
         std::uniform_int_distribution<std::size_t> any(i, peers.size() - 1);
         std::swap(peers[i], peers[any(random_)]);
-        ways_.send(peers[i].name.str(), request);
+        ways_.send(peers[i].name.str(), request_text());
     }
-    deadlines_.at(now + (is_new_ ? first_compare_interval : compare_interval),
-                  [this] { compare(); });
+    deadlines_.at(now + first_question_interval, [this] { ask_for_records(); });
 }
 
 void crash_exchange::send_to_all(const std::string& bytes)
--- a/libs/relay/src/crash_exchange.h
+++ b/libs/relay/src/crash_exchange.h
@@ -18,9 +18,9 @@
 
 /// Tells the other nodes of crashes and learns of theirs, so that all know what to hold back.
 ///
-/// A crash is told to all nodes at once. Each node also compares its records with those of another
-/// node once a second, which repairs what was lost on the way, and a node that starts asks several
-/// nodes until one that has been running for longer answered.
+/// A crash is told to all nodes at once. What was lost on the way is repaired whenever a node asks
+/// another for published state: both compare their records. A node that starts asks several nodes
+/// until one that has been running for longer answered.
 class crash_exchange {
 public:
     struct ways {
@@ -32,9 +32,12 @@
 
     crash_exchange(deadline_queue& deadlines, ways w);
 
-    /// Begins to compare records.
+    /// Begins to ask for the records of others.
     void start();
 
+    /// The question for a peer's records, to be sent with the question for its published state.
+    std::string request_text() const;
+
     /// The own target answered a request with this content.
     void answered(const content_scopes& content, unsigned status);
 
@@ -60,7 +63,7 @@
     std::optional<std::string> reply_to_request(const struct records_request_message& request);
     void take_records(const struct records_message& told);
     void ask_all(content_fingerprint content);
-    void compare();
+    void ask_for_records();
     void send_to_all(const std::string& bytes);
 
     deadline_queue& deadlines_;
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -437,7 +437,9 @@
 
 void relay_node::request_state(const std::string& address)
 {
-    impl_->forwarder.link_to(address)->request_state();
+    const auto link = impl_->forwarder.link_to(address);
+    link->request_state();
+    link->send_control(impl_->crashes.request_text());
 }
 
 void relay_node::request_state_of_any()
