Look at a silent target only for requests since its last answer

Read again: a request that its caller gave up stayed a reason to look at the target for as long as nothing else ended it, so that an idle target got a connection for each pause of a second. Now only what ended without an answer after the target's last sign of life is one. target_watch_target_that_answered_since_is_not_looked_at failed before the change.

--- a/libs/dispatch/src/target_watch.cpp
+++ b/libs/dispatch/src/target_watch.cpp
@@ -45,7 +45,9 @@
 
 bool target_watch::is_silent(mono_time now)
 {
-    const bool is_waiting = !running_.empty() || !unanswered_.empty();
+    // What ended without an answer before the target's last sign of life asks for no look.
+    const bool is_waiting =
+        !running_.empty() || (!unanswered_.empty() && unanswered_.back().first > quiet_since_);
     if (!is_waiting || is_looked_at_ || now - quiet_since_ <= options_.silence) {
         return false;
     }
--- a/libs/dispatch/tests/target_watch_test.cpp
+++ b/libs/dispatch/tests/target_watch_test.cpp
@@ -51,6 +51,19 @@
     CHECK(watch.gone(now).empty());
 }
 
+// Guards against a connection to an idle target for each pause after a caller once gave up.
+TEST_CASE_METHOD(target_watch_fixture, "target_watch_target_that_answered_since_is_not_looked_at")
+{
+    start(1);
+    start(2);
+    watch.unanswered(1, now + 10ms);
+    watch.answered(2, now + 20ms);
+    CHECK_FALSE(watch.is_silent(now + 5s));
+    watch.unanswered(3, now + 6s); // Not known, so that it says nothing of the target.
+    CHECK_FALSE(watch.is_silent(now + 10s));
+    CHECK(numbers_of(watch.gone(now + 10s)) == numbers{1});
+}
+
 // Guards against a crash that goes unseen since the target is back before anybody looks.
 TEST_CASE_METHOD(target_watch_fixture, "target_watch_target_that_started_again_had_crashed")
 {
