--- a/libs/dispatch/tests/crash_watch_test.cpp
+++ b/libs/dispatch/tests/crash_watch_test.cpp
@@ -95,3 +95,25 @@
     crash({100'000}, 2);
     CHECK(crash({100'000}, 3));
 }
+
+// Guards against a content that its callers send again so rarely that its crashes never add up.
+TEST_CASE_METHOD(crash_watch_fixture, "crash_watch_crashes_minutes_apart_add_up")
+{
+    CHECK_FALSE(crash(lethal, 1));
+    now += 2min;
+    CHECK_FALSE(crash(lethal, 2));
+    now += 2min;
+    CHECK(crash(lethal, 3));
+}
+
+// Guards against many innocent contents that push out the one which crashed two targets.
+TEST_CASE_METHOD(crash_watch_fixture, "crash_watch_keeps_the_content_with_most_crashes")
+{
+    crash(lethal, 1);
+    crash(lethal, 2);
+    for (std::uint64_t i = 0; i < 20'000; ++i) {
+        now += 1ms;
+        crash({i + 100'000}, i + 10);
+    }
+    CHECK(crash(lethal, 3));
+}
