--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -132,14 +132,31 @@
     send(call);
 }
 
+content_scopes call_forwarder::content_of(const relay_request& request) const
+{
+    return scopes_of(
+        {request.method, request.host, request.target, request.body, settings_.service.str()});
+}
+
 std::optional<std::chrono::milliseconds>
 call_forwarder::held_back(const relay_request& request) const
 {
     if (!crashes_.holds_any()) {
         return std::nullopt; // Saves the comparison of large bodies.
     }
-    return crashes_.held_back(scopes_of(
-        {request.method, request.host, request.target, request.body, settings_.service.str()}));
+    return crashes_.held_back(content_of(request));
+}
+
+bool call_forwarder::may_send_again(pending_call& call, call_outcome ended)
+{
+    if (boot_clock::now() + deadline_slack >= call.deadline) {
+        return false;
+    }
+    // What may have crashed one target is not taken to the next; its caller decides.
+    if (ended == call_outcome::lost && crashes_.is_suspect(content_of(call.request))) {
+        return false;
+    }
+    return trefoil::may_send_again(*call.way, ended, call.history, budget_of(call.service));
 }
 
 void call_forwarder::note_lineage(pending_call& call)
@@ -306,8 +323,7 @@
     }
     const bool arrived = ended == call_outcome::lost || ended == call_outcome::declined;
     ++(arrived ? call->history.arrivals : call->history.detours);
-    const bool in_time = boot_clock::now() + deadline_slack < call->deadline;
-    if (in_time && may_send_again(*call->way, ended, call->history, budget_of(call->service))) {
+    if (may_send_again(*call, ended)) {
         report_.line(*call, "call_sent_again", reason_of(ended), level_of(*call));
         send(call);
         return;
--- a/libs/relay/src/call_forwarder.h
+++ b/libs/relay/src/call_forwarder.h
@@ -6,6 +6,7 @@
 #include "pending_call.h"
 
 #include "dispatch/byte_account.h"
+#include "dispatch/content_scopes.h"
 #include "dispatch/first_hop_gate.h"
 #include "dispatch/placement.h"
 #include "dispatch/route_levels.h"
@@ -54,7 +55,9 @@
 private:
     using call_ptr = std::shared_ptr<pending_call>;
 
+    content_scopes content_of(const relay_request& request) const;
     std::optional<std::chrono::milliseconds> held_back(const relay_request& request) const;
+    bool may_send_again(pending_call& call, call_outcome ended);
     void note_lineage(pending_call& call);
     bool admit(const call_ptr& call);
     void send(const call_ptr& call);
--- a/libs/relay/src/crash_exchange.cpp
+++ b/libs/relay/src/crash_exchange.cpp
@@ -82,6 +82,12 @@
     return longest;
 }
 
+bool crash_exchange::is_suspect(const content_scopes& content) const
+{
+    return std::ranges::any_of(content.all(),
+                               [this](auto scope) { return watch_.crashes_of(scope) > 0; });
+}
+
 void crash_exchange::target_crashed(const std::vector<content_scopes>& contents)
 {
     const auto now = boot_clock::now();
--- a/libs/relay/src/crash_exchange.h
+++ b/libs/relay/src/crash_exchange.h
@@ -44,6 +44,9 @@
     /// Time until the content may be tried again; none if it is not held back.
     std::optional<std::chrono::milliseconds> held_back(const content_scopes& content) const;
 
+    /// Whether the content was running at a crash, and nobody is known to have served it since.
+    bool is_suspect(const content_scopes& content) const;
+
     /// False: no content is held back.
     bool holds_any() const noexcept { return watch_.has_suspects(); }
 
--- a/libs/relay/tests/crashing_content_test.cpp
+++ b/libs/relay/tests/crashing_content_test.cpp
@@ -272,3 +272,23 @@
     }
     CHECK(crashes == 3);
 }
+
+// Guards against repeats by a node itself of a request that is known to have been running at a
+// crash.
+TEST_CASE_METHOD(crashing_content_fixture, "crashing_content_suspect_is_not_sent_again_by_the_node")
+{
+    publish(config_for("orders", true, config_version{2}), {});
+    const auto earn_repeats = [this] {
+        for (int i = 0; i < 30; ++i) {
+            relay_fixture::ask(front->settings.outbound,
+                               request_text("usual-" + std::to_string(i)));
+        }
+    };
+    earn_repeats();
+    ask("/work/lethal");
+    REQUIRE(crashes == 2); // The first crash was not known when the request was sent again.
+    revive();
+    earn_repeats();
+    ask("/work/lethal");
+    CHECK(crashes == 3);
+}
