--- a/libs/dispatch/include/dispatch/crash_watch.h
+++ b/libs/dispatch/include/dispatch/crash_watch.h
@@ -78,8 +78,9 @@
     std::optional<std::chrono::milliseconds> held_back(content_fingerprint content,
                                                        mono_time now) const;
 
-    /// False: no content is suspect, so that there is none to compare.
-    bool has_suspects() const noexcept { return !suspects_.empty(); }
+    /// Contents of which crashes are known, and those of them that have enough to be held back.
+    std::size_t known() const noexcept { return histories_.size(); }
+    std::size_t suspects() const noexcept { return suspects_.size(); }
 
 private:
     struct sighting {
--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -108,7 +108,7 @@
         fail(call, 400, refusal_reason::malformed);
         return;
     }
-    if (const auto left = held_back(call->request)) {
+    if (const auto left = held_back(*call)) {
         refuse(call, refusal_reason::quarantined, *left);
         return;
     }
@@ -138,13 +138,17 @@
         {request.method, request.host, request.target, request.body, settings_.service.str()});
 }
 
-std::optional<std::chrono::milliseconds>
-call_forwarder::held_back(const relay_request& request) const
+std::optional<std::chrono::milliseconds> call_forwarder::held_back(pending_call& call) const
 {
     if (!crashes_.holds_any()) {
         return std::nullopt; // Saves the comparison of large bodies.
     }
-    return crashes_.held_back(content_of(request));
+    const auto content = content_of(call.request);
+    const auto left = crashes_.held_back(content);
+    if (left) {
+        call.content = content.request;
+    }
+    return left;
 }
 
 bool call_forwarder::may_send_again(pending_call& call, call_outcome ended)
@@ -152,9 +156,13 @@
     if (boot_clock::now() + deadline_slack >= call.deadline) {
         return false;
     }
-    // What may have crashed one target is not taken to the next; its caller decides.
-    if (ended == call_outcome::lost && crashes_.is_suspect(content_of(call.request))) {
-        return false;
+    if (ended == call_outcome::lost) {
+        const auto content = content_of(call.request);
+        if (crashes_.is_suspect(content)) {
+            // What may have crashed one target is not taken to the next; its caller decides.
+            call.content = content.request;
+            return false;
+        }
     }
     return trefoil::may_send_again(*call.way, ended, call.history, budget_of(call.service));
 }
--- a/libs/relay/src/call_forwarder.h
+++ b/libs/relay/src/call_forwarder.h
@@ -56,7 +56,7 @@
     using call_ptr = std::shared_ptr<pending_call>;
 
     content_scopes content_of(const relay_request& request) const;
-    std::optional<std::chrono::milliseconds> held_back(const relay_request& request) const;
+    std::optional<std::chrono::milliseconds> held_back(pending_call& call) const;
     bool may_send_again(pending_call& call, call_outcome ended);
     void note_lineage(pending_call& call);
     bool admit(const call_ptr& call);
--- a/libs/relay/src/call_report.cpp
+++ b/libs/relay/src/call_report.cpp
@@ -22,6 +22,9 @@
             .add("level", level)
             .add("nested", call.nested);
     }
+    if (call.content) {
+        line.add("content", call.content->to_string());
+    }
     if (!call.tried.empty()) {
         line.add("target", call.tried.back()).add("sends", call.tried.size());
     }
--- a/libs/relay/src/crash_exchange.h
+++ b/libs/relay/src/crash_exchange.h
@@ -50,8 +50,12 @@
     /// Whether the content was running at a crash, and nobody is known to have served it since.
     bool is_suspect(const content_scopes& content) const;
 
+    /// Fingerprints of which crashes are known, and those of them that are suspect.
+    std::size_t known() const noexcept { return watch_.known(); }
+    std::size_t suspects() const noexcept { return watch_.suspects(); }
+
     /// False: no content is held back.
-    bool holds_any() const noexcept { return watch_.has_suspects(); }
+    bool holds_any() const noexcept { return watch_.suspects() > 0; }
 
     /// Handles a message of a peer. Returns the bytes to send back, if any. Throws
     /// invalid_node_message.
--- a/libs/relay/src/pending_call.h
+++ b/libs/relay/src/pending_call.h
@@ -7,8 +7,10 @@
 #include "dispatch/resend_rule.h"
 #include "dispatch/route_table.h"
 #include "dispatch/target_state.h"
+#include "quarantine/content_fingerprint.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +39,8 @@
     std::uint32_t stream = 0;
     std::uint64_t local_ticket = 0;
     bool finished = false;
+    /// Set if its content decided what became of it.
+    std::optional<content_fingerprint> content;
 };
 
 } // namespace trefoil
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -179,6 +179,8 @@
             counters.set("trefoil_target_slots", load.limit);
             counters.set("trefoil_admit_level", local.level());
             counters.set("trefoil_targets_known", static_cast<double>(targets.size()));
+            counters.set("trefoil_crash_contents_known", static_cast<double>(crashes.known()));
+            counters.set("trefoil_crash_contents_suspect", static_cast<double>(crashes.suspects()));
             counters.set("trefoil_log_lines_dropped", static_cast<double>(log.dropped()));
             return {200U, header_line("Content-Type", "text/plain"), counters.text(), {}};
         }
--- a/libs/relay/tests/crashing_content_test.cpp
+++ b/libs/relay/tests/crashing_content_test.cpp
@@ -121,6 +121,23 @@
     CHECK(ask("/work/other").body() == "done");
 }
 
+// Guards against a content that is held back without a trace for operators.
+TEST_CASE_METHOD(crashing_content_fixture, "crashing_content_suspects_are_in_the_metrics")
+{
+    const auto metrics = [this] {
+        return relay_fixture::ask(front->settings.ready, "GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n")
+            .body();
+    };
+    CHECK(metrics().find("trefoil_crash_contents_suspect 0") != std::string::npos);
+    for (int i = 0; i < 3; ++i) {
+        ask("/work/lethal");
+        revive();
+    }
+    // One content has three fingerprints.
+    CHECK(metrics().find("trefoil_crash_contents_known 3") != std::string::npos);
+    CHECK(metrics().find("trefoil_crash_contents_suspect 3") != std::string::npos);
+}
+
 // Guards against usual requests that are held back since they ran when targets crashed.
 TEST_CASE_METHOD(crashing_content_fixture, "crashing_content_that_was_served_elsewhere_goes_on")
 {
