Reduce the growth term of the admit level for short runs

Cause of the failing test admission_single_calls: the occupancy of requests that run for less than a control interval grows in inverse proportion to their run time, so a fixed gain on the growth made the loop oscillate and left 5 of 100 slots idle. The gain is now proportional to the run time up to one interval.

--- a/libs/dispatch/include/dispatch/admit_level.h
+++ b/libs/dispatch/include/dispatch/admit_level.h
@@ -40,7 +40,8 @@
     double max_change = 0.15;
     /// Relative decrease per unit by which the occupancy grew since the previous interval (the
     /// derivative term), which reacts to a queue before it is long. In simulation 0.5 and 1.0 give
-    /// similar results.
+    /// similar results. Requests that run for less than one interval change the occupancy by more
+    /// than the excess of arrivals, so the gain is reduced in proportion to their run time.
     double growth_gain = 0.7;
     /// Minimum level. Some requests must still be admitted, or recovery would not be detected.
     double min_level = 0.05;
--- a/libs/dispatch/src/admit_level.cpp
+++ b/libs/dispatch/src/admit_level.cpp
@@ -46,10 +46,12 @@
     const auto mean = integral_ / seconds(now - interval_start_);
     const auto missing = desired_occupancy() - mean;
     const auto idle = std::max(0.0, options_.idle_occupancy - mean);
+    const std::chrono::duration<double> interval = options_.interval;
     const auto gain = missing > 0.0 ? options_.raise_gain : options_.lower_gain;
     const auto growth = mean > 1.0 ? mean - std::max(1.0, last_mean_) : 0.0;
+    const auto growth_gain = options_.growth_gain * std::min(1.0, hold_ / interval);
     const auto change =
-        std::clamp(gain * missing + options_.idle_gain * idle - options_.growth_gain * growth,
+        std::clamp(gain * missing + options_.idle_gain * idle - growth_gain * growth,
                    -options_.max_change, options_.max_change);
     level_ = std::clamp(level_ * (1.0 + change), options_.min_level, 1.0);
     last_mean_ = mean;
