Spend retries over the whole budget window, where a request can still succeed

Hypothesis: the rule counts retries in any window against the requests in it, the one before or the one half before. A node that checks all windows around the present may spend what calm seconds left. Calls carry the chance that the rest of their request succeeds, learned from the number of calls of a run and their share that succeeds; little chance leaves retries to others. Calls of a retried run count as retries.

--- a/libs/dispatch/include/dispatch/route_levels.h
+++ b/libs/dispatch/include/dispatch/route_levels.h
@@ -29,6 +29,12 @@
     /// known.
     double level_of(const called_route& called, mono_time now) const;
 
+    /// Whether requests of the route call other services.
+    bool makes_calls(std::uint32_t route, mono_time now) const
+    {
+        return !graph_.children(route, now).empty();
+    }
+
     /// Lowest level of the services that requests of the route call; 1 if none is known.
     double min_child_level(std::uint32_t route, mono_time now) const;
 
--- a/libs/dispatch/include/dispatch/run_queue.h
+++ b/libs/dispatch/include/dispatch/run_queue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "dispatch/run_time.h"
 #include "dispatch/target_load.h"
 
 #include <chrono>
@@ -98,6 +99,9 @@
     /// Smoothed time for which a request of the route occupies a slot.
     std::chrono::nanoseconds hold(std::uint32_t route) const;
 
+    /// Smoothed run time of the route; 0 if it has not completed a request.
+    run_time time_of(std::uint32_t route) const;
+
     /// Wait time so far of the request that has waited longest; 0 if none is waiting.
     std::chrono::nanoseconds longest_wait(mono_time now) const;
 
@@ -129,7 +133,7 @@
     /// Tickets of waiting requests by the latest time at which they may start.
     std::multimap<mono_time, std::uint64_t> by_latest_start_;
     std::unordered_map<std::uint64_t, running> running_;
-    std::unordered_map<std::uint32_t, std::chrono::nanoseconds> holds_;
+    std::unordered_map<std::uint32_t, run_time> run_times_;
     std::chrono::nanoseconds mean_hold_{0};
     /// Tickets of waiting requests by arrival.
     std::set<std::pair<mono_time, std::uint64_t>> by_arrival_;
--- a/libs/dispatch/src/run_queue.cpp
+++ b/libs/dispatch/src/run_queue.cpp
@@ -46,10 +46,9 @@
         return;
     }
     if (completed) {
-        const auto run_time = now - it->second.since;
-        auto& known = holds_[it->second.route];
-        known = smoothed(known, run_time, options_.hold_smoothing);
-        mean_hold_ = smoothed(mean_hold_, run_time, options_.hold_smoothing);
+        const auto time = now - it->second.since;
+        run_times_[it->second.route].record(time, options_.hold_smoothing);
+        mean_hold_ = smoothed(mean_hold_, time, options_.hold_smoothing);
     }
     running_.erase(it);
 }
@@ -125,8 +124,16 @@
 
 std::chrono::nanoseconds run_queue::hold(std::uint32_t route) const
 {
-    const auto it = holds_.find(route);
-    return it == holds_.end() ? std::chrono::nanoseconds(options_.initial_hold) : it->second;
+    const auto it = run_times_.find(route);
+    return it == run_times_.end()
+               ? std::chrono::nanoseconds(options_.initial_hold)
+               : std::chrono::duration_cast<std::chrono::nanoseconds>(it->second.mean);
+}
+
+run_time run_queue::time_of(std::uint32_t route) const
+{
+    const auto it = run_times_.find(route);
+    return it == run_times_.end() ? run_time{} : it->second;
 }
 
 std::chrono::nanoseconds run_queue::longest_wait(mono_time now) const
--- a/libs/dispatch/tests/entry_admission_test.cpp
+++ b/libs/dispatch/tests/entry_admission_test.cpp
@@ -29,12 +29,19 @@
 
 struct retry_fixture {
     route r;
-    retry_budget budget{{10, 1}};
+    retry_allowance allowance{{.ratio = 0.1, .leaf_share = 1.0}};
+    mono_time now{1h};
 
     retry_fixture()
     {
         r.idempotent = true;
         r.max_attempts = 2;
+        allowance.record_caller(false);
+    }
+
+    bool may_retry(call_outcome outcome, const send_history& history)
+    {
+        return trefoil::may_retry(r, outcome, history, allowance, 0.0, now);
     }
 };
 
@@ -99,26 +106,28 @@
 // Guards against running a request twice: without a response it is unknown whether the request ran.
 TEST_CASE_METHOD(retry_fixture, "retry_rule_request_without_response_is_retried_only_if_idempotent")
 {
-    CHECK(may_retry(r, call_outcome::no_response, {1, 0}, budget));
+    CHECK(may_retry(call_outcome::no_response, {1, 0}));
     r.idempotent = false;
-    retry_budget fresh({10, 1});
-    CHECK_FALSE(may_retry(r, call_outcome::no_response, {1, 0}, fresh));
-    CHECK(may_retry(r, call_outcome::not_run, {1, 0}, fresh));
-    CHECK_FALSE(may_retry(r, call_outcome::answered, {1, 0}, fresh));
+    allowance = retry_allowance();
+    CHECK_FALSE(may_retry(call_outcome::no_response, {1, 0}));
+    CHECK(may_retry(call_outcome::not_run, {1, 0}));
+    CHECK_FALSE(may_retry(call_outcome::answered, {1, 0}));
 }
 
 // Guards against retries that keep an overloaded service overloaded.
 TEST_CASE_METHOD(retry_fixture, "retry_rule_retries_stay_within_budget_and_attempts")
 {
-    CHECK_FALSE(may_retry(r, call_outcome::no_response, {2, 0}, budget));
+    CHECK_FALSE(may_retry(call_outcome::no_response, {2, 0}));
     int retries = 0;
     for (int i = 0; i < 1000; ++i) {
-        budget.first_attempt();
-        retries += may_retry(r, call_outcome::no_response, {1, 0}, budget) ? 1 : 0;
+        allowance.record_request(now);
+        retries += may_retry(call_outcome::no_response, {1, 0}) ? 1 : 0;
+        now += 1ms;
     }
+    CHECK(retries > 0);
     CHECK(retries <= 101);
-    CHECK(may_retry(r, call_outcome::unreachable, {0, 1}, budget));
-    CHECK_FALSE(may_retry(r, call_outcome::rejected, {0, max_unexecuted_attempts + 1}, budget));
+    CHECK(may_retry(call_outcome::unreachable, {0, 1}));
+    CHECK_FALSE(may_retry(call_outcome::rejected, {0, max_unexecuted_attempts + 1}));
 }
 
 // Guards against limiting routes that never reach the overloaded service.
--- a/libs/relay/include/relay/relay_settings.h
+++ b/libs/relay/include/relay/relay_settings.h
@@ -35,6 +35,8 @@
     std::chrono::milliseconds grace{6000};
     /// Max retries of all nodes together, as a fraction of the requests for a service.
     double retry_ratio = 0.2;
+    /// Length of the window to which `retry_ratio` applies.
+    std::chrono::milliseconds retry_window{10'000};
     /// Memory limit of the process, in bytes.
     std::size_t memory_bytes = std::size_t{256} << 20U;
 };
--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -24,14 +24,6 @@
 /// Links unused for this long are closed.
 constexpr std::chrono::seconds link_idle_limit{10};
 
-/// Fraction of the permitted retries that nodes use themselves, since the nested calls of a retried
-/// request are retries too.
-constexpr double used_fraction_of_retry_ratio = 0.4;
-
-/// Retries that a node can accumulate for one service. With this limit, all nodes together
-/// accumulate no more than a few dozen.
-constexpr std::uint32_t retry_burst = 1;
-
 refusal_reason reason_of(call_outcome o)
 {
     switch (o) {
@@ -76,11 +68,11 @@
     rotation_.clear();
 }
 
-retry_budget& call_forwarder::budget_of(const service_name& service)
+retry_allowance& call_forwarder::allowance_of(const service_name& service)
 {
-    const auto percent =
-        static_cast<std::uint32_t>(100.0 * settings_.retry_ratio * used_fraction_of_retry_ratio);
-    return budgets_.try_emplace(service, retry_budget_options{percent, retry_burst}).first->second;
+    const retry_allowance_options options{.ratio = settings_.retry_ratio,
+                                          .window = settings_.retry_window};
+    return allowances_.try_emplace(service, options).first->second;
 }
 
 double call_forwarder::level_of(const pending_call& call) const
@@ -125,7 +117,13 @@
     if (!admit(call)) {
         return;
     }
-    budget_of(call->service).first_attempt();
+    auto& allowance = allowance_of(call->service);
+    if (call->is_part_of_retry) {
+        allowance.record_retry(call->request.arrived);
+    }
+    else {
+        allowance.record_request(call->request.arrived);
+    }
     deadlines_.at(call->deadline + deadline_slack, [this, weak = std::weak_ptr(call)] {
         const auto pending = weak.lock();
         if (pending && !pending->finished) {
@@ -168,16 +166,21 @@
             return false;
         }
     }
-    return trefoil::may_retry(*call.matched_route, ended, call.history, budget_of(call.service));
+    return trefoil::may_retry(*call.matched_route, ended, call.history, allowance_of(call.service),
+                              reserved_share(call.chance), boot_clock::now());
 }
 
 void call_forwarder::record_parent(pending_call& call)
 {
     call.rank = call.matched_route->rank;
     call.request_deadline = call.deadline;
-    if (const auto parent = local_.parent_of(call.request.id)) {
+    if (const auto parent = local_.record_call(call.request.id)) {
         call.nested = true;
         call.rank = parent->rank;
+        call.is_part_of_retry = parent->repeated;
+        const auto other_calls = parent->usual_calls - parent->succeeded_calls - 1.0;
+        const auto call_share = call_shares_.succeeding(route_key(call.matched_route->name));
+        call.chance = chance_after_call(parent->chance, call_share, other_calls);
         call.request_deadline = std::max(call.deadline, parent->request_deadline);
         levels_.record_call(parent->route, {route_key(call.matched_route->name), call.service},
                             call.request.arrived);
@@ -231,6 +234,8 @@
     message.body = call.request.body;
     message.answer_limit = limits_.max_answer_bytes;
     message.service = call.service.str();
+    message.repeated = call.is_part_of_retry || call.history.received_attempts > 0;
+    message.chance = to_wire_level(call.chance);
     return message;
 }
 
@@ -315,6 +320,7 @@
         placement_.record_load(*target, load, now);
         levels_.record({route_key(call.matched_route->name), call.service},
                        from_wire_level(answer.level), now);
+        allowance_of(call.service).record_caller(answer.makes_calls);
     }
     if (outcome == call_outcome::unreachable) {
         placement_.record_unreachable(*target, now);
@@ -407,6 +413,14 @@
     finish(call, {status, {}, {}, {}});
 }
 
+void call_forwarder::record_call_result(const pending_call& call, bool succeeded)
+{
+    call_shares_.record(route_key(call.matched_route->name), succeeded);
+    if (succeeded) {
+        local_.record_call_succeeded(call.request.id);
+    }
+}
+
 void call_forwarder::finish(const call_ptr& call, relay_answer answer)
 {
     call->finished = true;
@@ -414,6 +428,9 @@
     if (!caller) {
         return;
     }
+    if (call->nested) {
+        record_call_result(*call, answer.status < first_failure_status);
+    }
     calls_.erase(caller.get());
     answer.headers += header_line(settings_.headers.request_id, call->request.id);
     caller->answer(answer, !draining_);
--- a/libs/relay/src/call_forwarder.h
+++ b/libs/relay/src/call_forwarder.h
@@ -6,14 +6,15 @@
 #include "pending_call.h"
 
 #include "dispatch/byte_account.h"
+#include "dispatch/call_shares.h"
 #include "dispatch/content_fingerprints.h"
 #include "dispatch/entry_admission.h"
 #include "dispatch/placement.h"
+#include "dispatch/retry_allowance.h"
 #include "dispatch/route_levels.h"
 #include "dispatch/target_directory.h"
 #include "dispatch/weighted_rotation.h"
 #include "relay/relay_settings.h"
-#include "routing/retry_budget.h"
 #include "wire/refusal_reason.h"
 
 #include <map>
@@ -76,8 +77,9 @@
     void refuse(const call_ptr& call, refusal_reason reason, std::chrono::milliseconds retry_after);
     void fail(const call_ptr& call, unsigned status, refusal_reason reason);
     void finish(const call_ptr& call, relay_answer answer);
+    void record_call_result(const pending_call& call, bool succeeded);
     double level_of(const pending_call& call) const;
-    retry_budget& budget_of(const service_name& service);
+    retry_allowance& allowance_of(const service_name& service);
     /// Stores how many bytes of incomplete messages a link buffers. Aborts the links that buffer
     /// most while the total exceeds its limit.
     void record_buffered_bytes(byte_account::holder number, std::size_t bytes);
@@ -102,7 +104,8 @@
     std::map<std::string, std::shared_ptr<peer_link>> links_;
     /// Links to nodes that stopped responding; kept until their requests have ended.
     std::vector<std::shared_ptr<peer_link>> unresponsive_links_;
-    std::map<service_name, retry_budget> budgets_;
+    std::map<service_name, retry_allowance> allowances_;
+    call_shares call_shares_;
     std::unordered_map<const caller_session*, call_ptr> calls_;
     std::mt19937_64 random_;
     bool draining_ = false;
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -27,6 +27,11 @@
 /// Smallest change of the admit level that is logged.
 constexpr double logged_step = 0.1;
 
+std::uint32_t to_wire_time(std::chrono::duration<double> time)
+{
+    return static_cast<std::uint32_t>(time / std::chrono::milliseconds(1));
+}
+
 } // namespace
 
 local_target::local_target(asio::io_context& context, deadline_queue& deadlines,
@@ -144,20 +149,41 @@
                                    c.call.host, c.call.headers,     c.call.body,
                                    expected,    c.caller_service,   c.call.idempotent,
                                    c.deadline,  c.call.answer_limit};
-    runs_[c.call.id] = {c.call.route, c.call.rank, c.request_deadline};
+    runs_[c.call.id] = {c.call.route,
+                        c.call.rank,
+                        c.request_deadline,
+                        c.call.repeated,
+                        from_wire_level(c.call.chance),
+                        0,
+                        0,
+                        calls_per_run_.usual(c.call.route)};
     crash_detector_.record_started(ticket, c.content, boot_clock::now());
     c.exchange = client_.start(
         request, [this, ticket](upstream_result result) { on_result(ticket, std::move(result)); });
 }
 
-std::optional<local_target::parent_run> local_target::parent_of(const std::string& id) const
+local_target::parent_run* local_target::find_parent(const std::string& id)
 {
     const auto end = names_.id_separator == 0 ? std::string::npos : id.rfind(names_.id_separator);
-    if (end == std::string::npos) {
+    const auto it = end == std::string::npos ? runs_.end() : runs_.find(id.substr(0, end));
+    return it == runs_.end() ? nullptr : &it->second;
+}
+
+std::optional<local_target::parent_run> local_target::record_call(const std::string& id)
+{
+    auto* const parent = find_parent(id);
+    if (parent == nullptr) {
         return std::nullopt;
     }
-    const auto it = runs_.find(id.substr(0, end));
-    return it == runs_.end() ? std::nullopt : std::optional(it->second);
+    ++parent->calls;
+    return *parent;
+}
+
+void local_target::record_call_succeeded(const std::string& id)
+{
+    if (auto* const parent = find_parent(id)) {
+        ++parent->succeeded_calls;
+    }
 }
 
 void local_target::refuse(std::uint64_t ticket)
@@ -280,6 +306,10 @@
     const auto now = boot_clock::now();
     if (result.outcome == call_outcome::answered) {
         crashes_.answered(call.content, result.answer.status);
+        const auto run = runs_.find(call.call.id);
+        if (run != runs_.end() && result.answer.status < first_failure_status) {
+            calls_per_run_.record(call.call.route, run->second.calls);
+        }
     }
     if (result.is_closed_early || result.is_timed_out) {
         crash_detector_.record_unanswered(ticket, now);
@@ -376,6 +406,10 @@
     answer.limit = load.limit;
     answer.hold_ms = static_cast<std::uint32_t>(load.hold.count());
     answer.level = to_wire_level(level_of(c.call.route, now));
+    const auto time = queue_.time_of(c.call.route);
+    answer.route_time_ms = to_wire_time(time.mean);
+    answer.route_deviation_ms = to_wire_time(time.deviation);
+    answer.makes_calls = levels_.makes_calls(c.call.route, now);
     if (c.done) {
         c.done(std::move(answer));
     }
--- a/libs/relay/src/node_message.h
+++ b/libs/relay/src/node_message.h
@@ -33,7 +33,7 @@
     records = 15,
 };
 
-/// Messages carry admit levels in units of 1/1000.
+/// Messages carry admit levels and chances in units of 1/1000.
 constexpr double wire_level_scale = 1000.0;
 
 inline std::uint32_t to_wire_level(double level)
@@ -113,10 +113,14 @@
     std::uint64_t answer_limit = 0;
     /// Name of the requested service.
     std::string service;
+    /// The request, or the one that made this call, was sent to another target before.
+    bool repeated = false;
+    /// Chance in units of 1/1000 that the request at the entry node succeeds if this one does.
+    std::uint32_t chance = 1000;
 
     MSGPACK_DEFINE(stream, time_left_ms, route, rank, idempotent, nested, target_id, id, method,
                    target, host, headers, body, sent_ms, version, request_extra_ms, answer_limit,
-                   service)
+                   service, repeated, chance)
 };
 
 /// The outcome of a request at the receiver.
@@ -135,9 +139,15 @@
     /// Admit level of the request's route at this node and downstream of it, in units of 1/1000.
     std::uint32_t level = 1000;
     wire_state_version version;
+    /// Whether requests of this route make calls to other services.
+    bool makes_calls = true;
+    /// Smoothed run time of the route at this target and its mean absolute deviation; 0 if not
+    /// known.
+    std::uint32_t route_time_ms = 0;
+    std::uint32_t route_deviation_ms = 0;
 
     MSGPACK_DEFINE(stream, outcome, status, headers, body, omitted_length, running, waiting, limit,
-                   hold_ms, level, version)
+                   hold_ms, level, version, makes_calls, route_time_ms, route_deviation_ms)
 };
 
 /// Cancels a request: the caller no longer needs the answer.
--- a/libs/relay/src/pending_call.h
+++ b/libs/relay/src/pending_call.h
@@ -31,6 +31,10 @@
     mono_time deadline;
     /// Deadline of the request that began the chain of calls, at its entry node.
     mono_time request_deadline;
+    /// The request that made this call was itself sent again.
+    bool is_part_of_retry = false;
+    /// Chance that the request at the entry node succeeds if this one does.
+    double chance = 1.0;
     send_history history;
     std::vector<std::string> tried;
     /// Target of the current attempt; null between attempts.
--- a/libs/relay/src/relay_call.h
+++ b/libs/relay/src/relay_call.h
@@ -22,6 +22,9 @@
     std::chrono::milliseconds caller_timeout{0};
 };
 
+/// Answers with a status from here on are failures.
+inline constexpr unsigned first_failure_status = 400;
+
 /// An answer to a caller.
 struct relay_answer {
     unsigned status = 503;
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -11,6 +11,7 @@
 #include "session_set.h"
 
 #include "base/log_event.h"
+#include "dispatch/drain_rule.h"
 #include "metrics/metrics.h"
 
 #include <algorithm>
@@ -34,16 +35,9 @@
 /// running. The rest of the minimum drain time is longer than most requests take.
 constexpr std::chrono::milliseconds target_use_time{1500};
 
-/// Divisor of the grace time: a draining node accepts requests during the first 1/2 of it. Later
-/// requests might not finish before the process exits.
-constexpr int accepting_grace_divisor = 2;
-
 /// Retry delay sent to callers of a node that is about to restart.
 constexpr std::chrono::milliseconds restart_retry_delay{1000};
 
-/// A drain ends at the latest this long before the end of the grace time.
-constexpr std::chrono::milliseconds drain_margin{300};
-
 /// A drain may end once no request has been in progress for this long.
 constexpr std::chrono::milliseconds min_idle_time{150};
 
@@ -263,7 +257,12 @@
 
     bool rejects_new(const relay_request& request) const
     {
-        return draining && request.arrived > drain_start + settings.grace / accepting_grace_divisor;
+        if (!drain) {
+            return false;
+        }
+        const auto deadline = forwarder.deadline_of(request);
+        return local.is_call(request.id) ? !drain->accepts_call(deadline)
+                                         : !drain->accepts(request.arrived, deadline);
     }
 
     void reject_draining(const std::shared_ptr<caller_session>& session,
@@ -277,7 +276,7 @@
         session->answer(answer, false);
     }
 
-    bool is_ready() const { return !draining && forwarder.routes() != nullptr; }
+    bool is_ready() const { return !drain && forwarder.routes() != nullptr; }
 
     void sweep()
     {
@@ -312,7 +311,7 @@
         }
         const bool is_quiet =
             now - idle_since >= min_idle_time && now >= drain_start + min_drain_time;
-        const bool is_over = now >= drain_start + settings.grace - drain_margin;
+        const bool is_over = now >= drain->end();
         if (!is_quiet && !is_over) {
             deadlines.at(now + drain_check_interval, [this] { check_drained(); });
             return;
@@ -352,7 +351,8 @@
     std::function<void()> drained;
     mono_time drain_start;
     mono_time idle_since;
-    bool draining = false;
+    /// Set once the node has been told to stop.
+    std::optional<drain_rule> drain;
     bool target_closed = false;
 };
 
@@ -484,16 +484,17 @@
 
 void relay_node::drain(std::function<void()> done)
 {
-    if (std::exchange(impl_->draining, true)) {
+    if (impl_->drain) {
         return;
     }
     log_event("node_draining").add("vm", impl_->settings.vm).info();
     impl_->drained = std::move(done);
     impl_->drain_start = boot_clock::now();
     impl_->idle_since = impl_->drain_start;
+    impl_->drain.emplace(impl_->drain_start, impl_->settings.grace);
+    impl_->local.set_drain(*impl_->drain);
     impl_->forwarder.start_draining();
-    const auto use_time =
-        std::min(target_use_time, impl_->settings.grace / accepting_grace_divisor);
+    const auto use_time = std::min(target_use_time, impl_->settings.grace / 2);
     impl_->deadlines.at(impl_->drain_start + use_time, [i = impl_.get()] { i->close_target(); });
     impl_->check_drained();
 }
