Leave a zone for a missed objective or a queue, not for a faster target

Hypothesis: a target in another zone is worth its way only if the request would probably miss its objective in the own zone, or if the slots there are about to be all occupied. Lateness comes from the run time of the route at the target and its deviation; a report counts less as it ages, so that a slow target is tried again.

--- a/libs/dispatch/include/dispatch/target_state.h
+++ b/libs/dispatch/include/dispatch/target_state.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "base/time.h"
+#include "dispatch/run_time.h"
 #include "dispatch/target_entry.h"
 #include "dispatch/target_load.h"
 
 #include <cstdint>
+#include <unordered_map>
 
 namespace trefoil {
 
@@ -16,6 +18,12 @@
     target_load load;
     /// Time at which `load` was received.
     mono_time load_known_at;
+    /// Run time of a route that its node reported, and when.
+    struct reported_time {
+        run_time time;
+        mono_time known_at;
+    };
+    std::unordered_map<std::uint32_t, reported_time> run_times;
     /// Requests sent by this node that are not answered yet.
     std::uint32_t in_flight = 0;
     /// Requests sent by this node since the last load report.
--- a/libs/dispatch/src/placement.cpp
+++ b/libs/dispatch/src/placement.cpp
@@ -27,27 +27,58 @@
 
 } // namespace
 
-std::chrono::duration<double> placement::expected_time(const target_state& t,
-                                                       std::chrono::milliseconds default_hold,
-                                                       mono_time now) const
+double placement::load_per_slot(const target_state& t, mono_time now) const
 {
     const bool is_known =
         t.load_known_at != mono_time() && now - t.load_known_at < options_.load_lifetime;
     const double limit = is_known ? std::max(1U, t.load.limit) : std::max(1U, t.entry.slots);
     const double reported = is_known ? t.load.running + t.load.waiting : limit / 2.0;
-    const double load = std::max<double>(reported + t.sent_since_report, t.in_flight) + 1.0;
-    const double hold =
-        std::chrono::duration<double>(t.load.hold.count() > 0 ? t.load.hold : default_hold).count();
-    const double wait = std::max(0.0, load - limit) / limit;
-    double time = hold * (1.0 + wait + options_.load_weight * load / limit);
-    time *= 1.0 + options_.failure_weight * t.failure_share;
+    return (std::max<double>(reported + t.sent_since_report, t.in_flight) + 1.0) / limit;
+}
+
+double placement::risk_factor(const target_state& t, mono_time now,
+                              const placed_request& request) const
+{
+    double factor = 1.0 + options_.failure_weight * t.failure_share;
+    factor *= 1.0 + options_.late_weight * late_chance(t, request, now);
     if (t.entry.warming && t.load.hold.count() == 0) {
-        time *= options_.warming_factor;
+        factor *= options_.warming_factor;
     }
     if (t.entry.address == own_.address) {
-        time *= options_.own_vm_factor;
+        factor *= options_.own_vm_factor;
+    }
+    return factor;
+}
+
+std::chrono::duration<double> placement::expected_time(const target_state& t,
+                                                       std::chrono::milliseconds default_hold,
+                                                       mono_time now,
+                                                       const placed_request& request) const
+{
+    const auto load = load_per_slot(t, now);
+    const std::chrono::duration<double> hold = t.load.hold.count() > 0 ? t.load.hold : default_hold;
+    const double wait = std::max(0.0, load - 1.0);
+    return hold * (1.0 + wait + options_.load_weight * load) * risk_factor(t, now, request);
+}
+
+double placement::congestion(const target_state& t, mono_time now,
+                             const placed_request& request) const
+{
+    const auto relative_load = load_per_slot(t, now) / options_.congested_load;
+    return (1.0 + std::pow(relative_load, options_.congestion_exponent)) *
+           risk_factor(t, now, request);
+}
+
+double placement::late_chance(const target_state& t, const placed_request& request,
+                              mono_time now) const
+{
+    const auto known = t.run_times.find(request.route);
+    if (known == t.run_times.end() || request.objective_left.count() <= 0) {
+        return 0.0;
     }
-    return std::chrono::duration<double>(time);
+    const std::chrono::duration<double> age = now - known->second.known_at;
+    const auto weight = std::exp(-age / options_.run_time_lifetime);
+    return weight * known->second.time.chance_to_exceed(request.objective_left);
 }
 
 bool placement::is_usable(const target_state& t, std::span<const std::string> tried) const
@@ -58,7 +89,7 @@
 std::shared_ptr<target_state>
 placement::better_of_two(std::span<const std::shared_ptr<target_state>> targets,
                          std::uint64_t random, std::chrono::milliseconds default_hold,
-                         mono_time now) const
+                         mono_time now, const placed_request& request) const
 {
     if (targets.empty()) {
         return nullptr;
@@ -71,12 +102,16 @@
     const auto second = (first + step) % targets.size();
     const auto& a = targets[first];
     const auto& b = targets[second];
-    return expected_time(*b, default_hold, now) < expected_time(*a, default_hold, now) ? b : a;
+    return expected_time(*b, default_hold, now, request) <
+                   expected_time(*a, default_hold, now, request)
+               ? b
+               : a;
 }
 
 std::shared_ptr<target_state>
 placement::choose(std::span<const std::shared_ptr<target_state>> targets,
-                  std::span<const std::string> tried, std::uint64_t random, mono_time now) const
+                  std::span<const std::string> tried, std::uint64_t random, mono_time now,
+                  const placed_request& request) const
 {
     candidates own_zone;
     candidates other_zones;
@@ -93,19 +128,18 @@
         }
     }
     const auto default_hold = mean_hold(targets, options_.initial_hold);
-    const auto best_in_zone = better_of_two(own_zone, random, default_hold, now);
-    const auto best_elsewhere = better_of_two(other_zones, random, default_hold, now);
+    const auto best_in_zone = better_of_two(own_zone, random, default_hold, now, request);
+    const auto best_elsewhere = better_of_two(other_zones, random, default_hold, now, request);
     if (best_in_zone && best_elsewhere) {
-        const auto in_zone_time = expected_time(*best_in_zone, default_hold, now);
-        const auto elsewhere_time = expected_time(*best_elsewhere, default_hold, now);
-        return elsewhere_time < in_zone_time * options_.other_zone_factor ? best_elsewhere
-                                                                          : best_in_zone;
+        const auto in_zone = congestion(*best_in_zone, now, request);
+        const auto elsewhere = congestion(*best_elsewhere, now, request);
+        return elsewhere < in_zone * options_.other_zone_factor ? best_elsewhere : best_in_zone;
     }
     if (best_in_zone || best_elsewhere) {
         return best_in_zone ? best_in_zone : best_elsewhere;
     }
     // No other target is left: try one that was unreachable recently.
-    return better_of_two(suspended, random, default_hold, now);
+    return better_of_two(suspended, random, default_hold, now, request);
 }
 
 void placement::record_sent(target_state& t) const
@@ -129,6 +163,12 @@
     t.sent_since_report = 0;
 }
 
+void placement::record_run_time(target_state& t, std::uint32_t route, const run_time& time,
+                                mono_time now) const
+{
+    t.run_times[route] = {time, now};
+}
+
 void placement::record_unreachable(target_state& t, mono_time now) const
 {
     if (t.suspended_until > now) {
--- a/libs/dispatch/tests/placement_test.cpp
+++ b/libs/dispatch/tests/placement_test.cpp
@@ -26,11 +26,13 @@
         return *t;
     }
 
-    std::map<std::string, int> chosen(int count, const std::vector<std::string>& tried = {})
+    std::map<std::string, int> chosen(int count, const std::vector<std::string>& tried = {},
+                                      const placed_request& request = {})
     {
         std::map<std::string, int> counts;
         for (int i = 0; i < count; ++i) {
-            const auto t = choice.choose(targets, tried, static_cast<std::uint64_t>(i), now);
+            const auto t =
+                choice.choose(targets, tried, static_cast<std::uint64_t>(i), now, request);
             ++counts[t ? t->entry.id.id : "none"];
         }
         return counts;
@@ -107,3 +109,52 @@
     choice.record_unreachable(add("only", "a"), now);
     CHECK(chosen(10) == std::map<std::string, int>{{"only", 10}});
 }
+
+namespace {
+
+/// A slow target in the own zone and a fast one in another, both with room.
+struct unlike_targets_fixture : placement_fixture {
+    static constexpr std::uint32_t route = 7;
+    target_state& slow = add("slow", "a");
+    target_state& fast = add("fast", "b");
+
+    unlike_targets_fixture()
+    {
+        choice.record_load(slow, {2, 0, 10, 200ms}, now);
+        choice.record_run_time(slow, route, {200ms, 80ms}, now);
+        choice.record_run_time(fast, route, {70ms, 30ms}, now);
+    }
+};
+
+} // namespace
+
+// Guards against urgent requests that miss their latency objective at the only target of the own
+// zone while a fast one elsewhere is idle.
+TEST_CASE_METHOD(unlike_targets_fixture, "placement_tight_objective_leaves_the_slow_target")
+{
+    CHECK(chosen(100, {}, {route, 240ms}) == std::map<std::string, int>{{"fast", 100}});
+}
+
+// Guards against traffic between zones for requests whose callers would not notice it.
+TEST_CASE_METHOD(unlike_targets_fixture, "placement_patient_request_stays_at_the_slow_target")
+{
+    CHECK(chosen(100, {}, {route, 1500ms}) == std::map<std::string, int>{{"slow", 100}});
+}
+
+// Guards against a target that was slow once and is never used again.
+TEST_CASE_METHOD(unlike_targets_fixture, "placement_old_run_time_no_longer_counts")
+{
+    now += 20s;
+    choice.record_load(slow, {2, 0, 10, 50ms}, now);
+    choice.record_load(fast, {2, 0, 10, 50ms}, now);
+    CHECK(chosen(100, {}, {route, 240ms}) == std::map<std::string, int>{{"slow", 100}});
+}
+
+// Guards against a long queue in the own zone beside a short one elsewhere, both with all slots
+// occupied, as in a burst after half of the targets have left.
+TEST_CASE_METHOD(placement_fixture, "placement_overload_uses_the_shorter_queue_of_another_zone")
+{
+    choice.record_load(add("near", "a"), {10, 15, 10, 40ms}, now);
+    choice.record_load(add("far", "b"), {10, 6, 10, 40ms}, now);
+    CHECK(chosen(100) == std::map<std::string, int>{{"far", 100}});
+}
--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -203,8 +203,11 @@
 void call_forwarder::send(const call_ptr& call)
 {
     const auto now = boot_clock::now();
+    const auto objective_left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        call->request.arrived + call->matched_route->objective - now);
     const auto target =
-        placement_.choose(targets_.targets(call->service), call->tried, random_(), now);
+        placement_.choose(targets_.targets(call->service), call->tried, random_(), now,
+                          {route_key(call->matched_route->name), objective_left});
     if (!target) {
         finish_unanswered(call, call_outcome::unreachable);
         return;
@@ -321,6 +324,11 @@
         levels_.record({route_key(call.matched_route->name), call.service},
                        from_wire_level(answer.level), now);
         allowance_of(call.service).record_caller(answer.makes_calls);
+        if (answer.route_time_ms > 0) {
+            const run_time time{std::chrono::milliseconds(answer.route_time_ms),
+                                std::chrono::milliseconds(answer.route_deviation_ms)};
+            placement_.record_run_time(*target, route_key(call.matched_route->name), time, now);
+        }
     }
     if (outcome == call_outcome::unreachable) {
         placement_.record_unreachable(*target, now);
