Send a request that a target misdirected once again over a new connection

What callers saw: a request that its target ran was answered 503, not run, come back.

Cause: after a 421 the node asks the target for its id and sends the same request again, often on the same kept connection. A faulty target that writes the earlier 421 once more there sends the id of the request that it now runs, so the copy passes the check of the id. This is the only place where one node sends one id twice to one target; retries go to targets that were not tried.

--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -145,10 +145,10 @@
     const auto& expected = c.call.service == identity_source_.service.str()
                                ? identity_.expected(c.call.target_id)
                                : c.call.target_id;
-    const upstream_request request{c.call.id,   c.call.method,      c.call.target,
-                                   c.call.host, c.call.headers,     c.call.body,
-                                   expected,    c.caller_service,   c.call.idempotent,
-                                   c.deadline,  c.call.answer_limit};
+    const upstream_request request{c.call.id,   c.call.method,     c.call.target,
+                                   c.call.host, c.call.headers,    c.call.body,
+                                   expected,    c.caller_service,  c.call.idempotent,
+                                   c.deadline,  c.was_misdirected, c.call.answer_limit};
     runs_[c.call.id] = {c.call.route,
                         c.call.rank,
                         c.request_deadline,
--- a/libs/relay/src/upstream_client.cpp
+++ b/libs/relay/src/upstream_client.cpp
@@ -81,7 +81,7 @@
 {
     auto exchange =
         std::make_shared<upstream_exchange>(*this, ++last_number_, request, std::move(done));
-    exchange->start(request, take_idle(request.idempotent));
+    exchange->start(request, request.was_rejected ? nullptr : take_idle(request.idempotent));
     return exchange;
 }
 
--- a/libs/relay/src/upstream_client.h
+++ b/libs/relay/src/upstream_client.h
@@ -29,6 +29,9 @@
     std::string caller_service;
     bool idempotent = false;
     mono_time deadline;
+    /// The target rejected the request before. A copy of that answer could arrive on the connection
+    /// that it was sent on, so a new one is opened.
+    bool was_rejected = false;
     /// Max answer size in bytes that the caller's node accepts; 0 for no limit of its own.
     std::size_t answer_limit = 0;
 };
--- a/libs/relay/tests/stand_in_target.h
+++ b/libs/relay/tests/stand_in_target.h
@@ -60,6 +60,9 @@
         }
     }
 
+    /// Number of the connection on which the request being answered arrived.
+    int connection() const noexcept { return connection_; }
+
     /// Number of connections that the peer closed.
     int closed() const noexcept { return closed_; }
 
@@ -90,6 +93,7 @@
     {
         boost::beast::flat_buffer buffer;
         boost::system::error_code error;
+        const auto number = ++last_connection_;
         for (;;) {
             boost::beast::http::request_parser<boost::beast::http::string_body> parser;
             parser.body_limit(std::uint64_t{1} << 24U);
@@ -100,6 +104,7 @@
                 co_return;
             }
             requests_.push_back(parser.release());
+            connection_ = number;
             const auto r = respond_(requests_.back());
             co_await asio::async_write(socket, asio::buffer(r.bytes),
                                        asio::redirect_error(asio::use_awaitable, error));
@@ -119,6 +124,8 @@
     tcp::endpoint local_;
     std::function<reply(const request&)> respond_;
     std::vector<request> requests_;
+    int last_connection_ = 0;
+    int connection_ = 0;
     int closed_ = 0;
 };
 
