Move the running requests and the links to nodes out of two large classes

The retry limit is named retry_limiter, since the glossary uses retry allowance for something else. Log lines of requests show the chance by which retries are ranked.

--- a/libs/dispatch/include/dispatch/retry_allowance.h
+++ b/libs/dispatch/include/dispatch/retry_limiter.h
@@ -9,8 +9,8 @@
 
 namespace trefoil {
 
-/// Tuning of a retry_allowance.
-struct retry_allowance_options {
+/// Tuning of a retry_limiter.
+struct retry_limiter_options {
     /// Retries that all nodes together may send to a service within a window, as a fraction of the
     /// requests for it.
     double ratio = 0.2;
@@ -39,9 +39,9 @@
 /// one before it or the one that begins half a window before it. What was not used before the
 /// failures is therefore available when they begin. All windows that include the present are
 /// checked, also those that end in the future, in which no request is certain to come.
-class retry_allowance {
+class retry_limiter {
 public:
-    explicit retry_allowance(retry_allowance_options options = {}) : options_(options) {}
+    explicit retry_limiter(retry_limiter_options options = {}) : options_(options) {}
 
     /// Records the first attempt of a request.
     void record_request(mono_time now);
@@ -75,7 +75,7 @@
     bool fits(double reserved_share) const;
     static double most_requests(const sums& requests, std::size_t future);
 
-    retry_allowance_options options_;
+    retry_limiter_options options_;
     /// Ring of intervals; `current_` counts intervals since the start of the clock.
     std::array<interval, kept_intervals> intervals_{};
     std::int64_t current_ = 0;
--- a/libs/dispatch/include/dispatch/retry_rule.h
+++ b/libs/dispatch/include/dispatch/retry_rule.h
@@ -2,7 +2,7 @@
 
 #include "base/time.h"
 #include "dispatch/call_outcome.h"
-#include "dispatch/retry_allowance.h"
+#include "dispatch/retry_limiter.h"
 #include "dispatch/route.h"
 
 #include <cstdint>
@@ -35,10 +35,10 @@
 double reserved_share(double chance);
 
 /// Whether a request may be sent to another target after an attempt that ended with `outcome`. A
-/// retry after a target received the request is charged to `allowance`, of which `reserved` is left
+/// retry after a target received the request is charged to `limiter`, of which `reserved` is left
 /// to others; a retry after an attempt that reached no target is not charged. A request that may
 /// have run is only retried if its route is idempotent.
 bool may_retry(const route& r, call_outcome outcome, const send_history& history,
-               retry_allowance& allowance, double reserved, mono_time now);
+               retry_limiter& limiter, double reserved, mono_time now);
 
 } // namespace trefoil
--- a/libs/dispatch/src/retry_allowance.cpp
+++ b/libs/dispatch/src/retry_limiter.cpp
@@ -1,10 +1,10 @@
-#include "dispatch/retry_allowance.h"
+#include "dispatch/retry_limiter.h"
 
 #include <algorithm>
 
 namespace trefoil {
 
-void retry_allowance::advance_to(mono_time now)
+void retry_limiter::advance_to(mono_time now)
 {
     const auto length = options_.window / static_cast<int>(intervals_per_window);
     const std::int64_t number = now.time_since_epoch() / length;
@@ -16,19 +16,19 @@
     current_ = std::max(current_, number);
 }
 
-void retry_allowance::record_request(mono_time now)
+void retry_limiter::record_request(mono_time now)
 {
     advance_to(now);
     ++intervals_.at(static_cast<std::size_t>(current_) % kept_intervals).requests;
 }
 
-void retry_allowance::record_retry(mono_time now)
+void retry_limiter::record_retry(mono_time now)
 {
     advance_to(now);
     ++intervals_.at(static_cast<std::size_t>(current_) % kept_intervals).retries;
 }
 
-double retry_allowance::most_requests(const sums& requests, std::size_t future)
+double retry_limiter::most_requests(const sums& requests, std::size_t future)
 {
     constexpr auto window = intervals_per_window;
     const auto past = window - future;
@@ -40,7 +40,7 @@
     return std::max({in_window, in_window_before, in_half_before});
 }
 
-bool retry_allowance::fits(double reserved_share) const
+bool retry_limiter::fits(double reserved_share) const
 {
     sums requests{};
     sums retries{};
@@ -66,7 +66,7 @@
     return is_within(retries.at(intervals_per_burst), largest_limit * options_.burst_share);
 }
 
-bool retry_allowance::take(double reserved_share, mono_time now)
+bool retry_limiter::take(double reserved_share, mono_time now)
 {
     advance_to(now);
     if (!fits(reserved_share)) {
--- a/libs/dispatch/src/retry_rule.cpp
+++ b/libs/dispatch/src/retry_rule.cpp
@@ -23,7 +23,7 @@
 }
 
 bool may_retry(const route& r, call_outcome outcome, const send_history& history,
-               retry_allowance& allowance, double reserved, mono_time now)
+               retry_limiter& limiter, double reserved, mono_time now)
 {
     switch (outcome) {
     case call_outcome::answered:
@@ -39,7 +39,7 @@
     case call_outcome::not_run:
         break;
     }
-    return history.received_attempts < r.max_attempts && allowance.take(reserved, now);
+    return history.received_attempts < r.max_attempts && limiter.take(reserved, now);
 }
 
 } // namespace trefoil
--- a/libs/dispatch/tests/entry_admission_test.cpp
+++ b/libs/dispatch/tests/entry_admission_test.cpp
@@ -29,19 +29,19 @@
 
 struct retry_fixture {
     route r;
-    retry_allowance allowance{{.ratio = 0.1, .leaf_share = 1.0}};
+    retry_limiter limiter{{.ratio = 0.1, .leaf_share = 1.0}};
     mono_time now{1h};
 
     retry_fixture()
     {
         r.idempotent = true;
         r.max_attempts = 2;
-        allowance.record_caller(false);
+        limiter.record_caller(false);
     }
 
     bool may_retry(call_outcome outcome, const send_history& history)
     {
-        return trefoil::may_retry(r, outcome, history, allowance, 0.0, now);
+        return trefoil::may_retry(r, outcome, history, limiter, 0.0, now);
     }
 };
 
@@ -108,7 +108,7 @@
 {
     CHECK(may_retry(call_outcome::no_response, {1, 0}));
     r.idempotent = false;
-    allowance = retry_allowance();
+    limiter = retry_limiter();
     CHECK_FALSE(may_retry(call_outcome::no_response, {1, 0}));
     CHECK(may_retry(call_outcome::not_run, {1, 0}));
     CHECK_FALSE(may_retry(call_outcome::answered, {1, 0}));
@@ -120,7 +120,7 @@
     CHECK_FALSE(may_retry(call_outcome::no_response, {2, 0}));
     int retries = 0;
     for (int i = 0; i < 1000; ++i) {
-        allowance.record_request(now);
+        limiter.record_request(now);
         retries += may_retry(call_outcome::no_response, {1, 0}) ? 1 : 0;
         now += 1ms;
     }
--- a/libs/dispatch/tests/retry_allowance_test.cpp
+++ b/libs/dispatch/tests/retry_limiter_test.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/retry_allowance.h"
+#include "dispatch/retry_limiter.h"
 #include "dispatch/retry_rule.h"
 
 #include <catch2/catch.hpp>
@@ -15,26 +15,26 @@
 namespace {
 
 /// One node's requests and retries for a service, with the times at which they were sent.
-struct retry_allowance_fixture {
+struct retry_limiter_fixture {
     static constexpr auto window = 10s;
     static constexpr double ratio = 0.2;
 
     mono_time now{1h};
-    retry_allowance allowance{{.ratio = ratio, .window = window}};
+    retry_limiter limiter{{.ratio = ratio, .window = window}};
     std::vector<mono_time> requests;
     std::vector<mono_time> retries;
 
-    retry_allowance_fixture() { allowance.record_caller(false); }
+    retry_limiter_fixture() { limiter.record_caller(false); }
 
     void request()
     {
-        allowance.record_request(now);
+        limiter.record_request(now);
         requests.push_back(now);
     }
 
     bool retry(double reserved = 0.0)
     {
-        const bool taken = allowance.take(reserved, now);
+        const bool taken = limiter.take(reserved, now);
         if (taken) {
             retries.push_back(now);
         }
@@ -86,11 +86,11 @@
 } // namespace
 
 // Guards against more retries in any window than the deployments allow: 48 for 16 nodes.
-TEST_CASE("retry_allowance_any_load_stays_within_the_limit_of_every_window")
+TEST_CASE("retry_limiter_any_load_stays_within_the_limit_of_every_window")
 {
     rc::check("no window exceeds the limit by more than the share of one node", [] {
         constexpr double slack_of_node = 3.0;
-        retry_allowance_fixture f;
+        retry_limiter_fixture f;
         const auto phases = *rc::gen::inRange(1, 8);
         for (int i = 0; i < phases; ++i) {
             const auto length = std::chrono::milliseconds(*rc::gen::inRange(200, 12'000));
@@ -101,18 +101,18 @@
 }
 
 // Guards against losing the retries that a service could have had before it began to fail.
-TEST_CASE_METHOD(retry_allowance_fixture,
-                 "retry_allowance_failures_after_calm_use_what_was_left_in_the_window")
+TEST_CASE_METHOD(retry_limiter_fixture,
+                 "retry_limiter_failures_after_calm_use_what_was_left_in_the_window")
 {
     send(20s, 100, 0.0);
     send(8s, 40, 0.5);
-    // 0.5 of 320 requests fail. An allowance that accrues with each request permits 0.2 of them.
+    // 0.5 of 320 requests fail. A limiter that accrues with each request permits 0.2 of them.
     CHECK(retries.size() >= 140);
     CHECK(largest_excess() <= 3.0);
 }
 
 // Guards against using up the whole limit in the first moments of an outage.
-TEST_CASE_METHOD(retry_allowance_fixture, "retry_allowance_severe_failures_leave_retries_for_later")
+TEST_CASE_METHOD(retry_limiter_fixture, "retry_limiter_severe_failures_leave_retries_for_later")
 {
     send(20s, 100, 0.0);
     send(6s, 100, 1.0);
@@ -124,8 +124,8 @@
 }
 
 // Guards against spending the limit on requests that will probably fail nevertheless.
-TEST_CASE_METHOD(retry_allowance_fixture,
-                 "retry_allowance_unlikely_request_leaves_retries_to_others")
+TEST_CASE_METHOD(retry_limiter_fixture,
+                 "retry_limiter_unlikely_request_leaves_retries_to_others")
 {
     send(20s, 100, 0.0);
     send(5s, 100, 1.0, reserved_share(0.05));
@@ -135,20 +135,20 @@
 }
 
 // Guards against retries at each hop that multiply: a retried request makes all of its calls again.
-TEST_CASE_METHOD(retry_allowance_fixture, "retry_allowance_calls_of_retried_requests_are_counted")
+TEST_CASE_METHOD(retry_limiter_fixture, "retry_limiter_calls_of_retried_requests_are_counted")
 {
     send(20s, 100, 0.0);
     for (int i = 0; i < 400; ++i) {
-        allowance.record_retry(now);
+        limiter.record_retry(now);
     }
     CHECK_FALSE(retry());
 }
 
 // Guards against retries at several services of a chain that together exceed the limit of the
 // deepest one.
-TEST_CASE_METHOD(retry_allowance_fixture, "retry_allowance_service_that_makes_calls_gets_less")
+TEST_CASE_METHOD(retry_limiter_fixture, "retry_limiter_service_that_makes_calls_gets_less")
 {
-    allowance.record_caller(true);
+    limiter.record_caller(true);
     send(20s, 100, 0.0);
     send(8s, 100, 1.0);
     const auto as_caller = retries.size();
@@ -160,7 +160,7 @@
 }
 
 // Guards against a node that cannot retry because it has sent few requests.
-TEST_CASE_METHOD(retry_allowance_fixture, "retry_allowance_node_without_requests_has_one_retry")
+TEST_CASE_METHOD(retry_limiter_fixture, "retry_limiter_node_without_requests_has_one_retry")
 {
     CHECK(retry());
     CHECK_FALSE(retry());
@@ -170,7 +170,7 @@
 
 /// Replays requests that need several calls in sequence to a service that declines a fixed part of
 /// them. A declined call is retried once if the rule allows it.
-struct declining_service_fixture : retry_allowance_fixture {
+struct declining_service_fixture : retry_limiter_fixture {
     static constexpr std::uint64_t seed = 20261204;
     std::mt19937_64 random{seed};
     double declined = 0.5;
--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -17,13 +17,6 @@
 /// within this time.
 constexpr std::chrono::milliseconds not_ready_retry_after{500};
 
-/// Targets of a node that announced its shutdown get no new requests for this time, which is about
-/// as long as a restart takes.
-constexpr std::chrono::milliseconds leaving_suspension{1000};
-
-/// Links unused for this long are closed.
-constexpr std::chrono::seconds link_idle_limit{10};
-
 refusal_reason reason_of(call_outcome o)
 {
     switch (o) {
@@ -54,9 +47,10 @@
                                local_target& local, route_levels& levels,
                                const crash_exchange& crashes, decision_log& log, metrics& counters,
                                peer_link::handlers link_handlers)
-    : context_(context), deadlines_(deadlines), settings_(s), targets_(targets), local_(local),
-      report_(log, counters), crashes_(crashes), limits_(answer_limits::for_memory(s.memory_bytes)),
-      link_bytes_(limits_.max_total_answer_bytes), link_handlers_(std::move(link_handlers)),
+    : deadlines_(deadlines), settings_(s), targets_(targets), local_(local), report_(log, counters),
+      crashes_(crashes), limits_(answer_limits::for_memory(s.memory_bytes)),
+      links_(context, deadlines, s, targets, limits_.max_total_answer_bytes,
+             std::move(link_handlers)),
       placement_({s.zone, s.inbound.address().to_string()}), levels_(levels),
       random_(std::random_device{}())
 {
@@ -68,11 +62,11 @@
     rotation_.clear();
 }
 
-retry_allowance& call_forwarder::allowance_of(const service_name& service)
+retry_limiter& call_forwarder::limiter_of(const service_name& service)
 {
-    const retry_allowance_options options{.ratio = settings_.retry_ratio,
-                                          .window = settings_.retry_window};
-    return allowances_.try_emplace(service, options).first->second;
+    const retry_limiter_options options{.ratio = settings_.retry_ratio,
+                                        .window = settings_.retry_window};
+    return retry_limiters_.try_emplace(service, options).first->second;
 }
 
 double call_forwarder::level_of(const pending_call& call) const
@@ -113,12 +107,12 @@
     if (!admit(call)) {
         return;
     }
-    auto& allowance = allowance_of(call->service);
+    auto& limiter = limiter_of(call->service);
     if (call->is_part_of_retry) {
-        allowance.record_retry(call->request.arrived);
+        limiter.record_retry(call->request.arrived);
     }
     else {
-        allowance.record_request(call->request.arrived);
+        limiter.record_request(call->request.arrived);
     }
     deadlines_.at(call->deadline + deadline_slack, [this, weak = std::weak_ptr(call)] {
         const auto pending = weak.lock();
@@ -177,7 +171,7 @@
             return false;
         }
     }
-    return trefoil::may_retry(*call.matched_route, ended, call.history, allowance_of(call.service),
+    return trefoil::may_retry(*call.matched_route, ended, call.history, limiter_of(call.service),
                               reserved_share(call.chance), boot_clock::now());
 }
 
@@ -185,13 +179,13 @@
 {
     call.rank = call.matched_route->rank;
     call.request_deadline = call.deadline;
-    if (const auto parent = local_.record_call(call.request.id)) {
+    if (const auto parent = local_.runs().record_call(call.request.id)) {
         call.nested = true;
         call.rank = parent->rank;
         call.is_part_of_retry = parent->repeated;
-        const auto other_calls = parent->usual_calls - parent->succeeded_calls - 1.0;
         const auto call_share = call_shares_.succeeding(route_key(call.matched_route->name));
-        call.chance = chance_after_call(parent->chance, call_share, other_calls);
+        call.chance =
+            chance_after_call(parent->chance, call_share, local_.runs().other_calls(*parent));
         call.request_deadline = std::max(call.deadline, parent->request_deadline);
         levels_.record_call(parent->route, {route_key(call.matched_route->name), call.service},
                             call.request.arrived);
@@ -268,57 +262,11 @@
         }
         return;
     }
-    const auto link = link_to(target->entry.address);
+    const auto link = links_.link_to(target->entry.address);
     call->link = link;
     call->stream = link->send(std::move(message), std::move(done));
 }
 
-std::shared_ptr<peer_link> call_forwarder::link_to(const std::string& address)
-{
-    auto& link = links_[address];
-    if (!link) {
-        auto handlers = link_handlers_;
-        handlers.leaving = [this, address] {
-            for (const auto& entry : targets_.entries()) {
-                const auto target = targets_.find(entry.id.id);
-                if (target && target->entry.address == address) {
-                    target->suspended_until = boot_clock::now() + leaving_suspension;
-                }
-            }
-        };
-        const auto number = ++last_link_;
-        handlers.buffered_bytes_changed = [this, number](std::size_t bytes) {
-            record_buffered_bytes(number, bytes);
-        };
-        handlers.unresponsive = [this, address] {
-            if (const auto it = links_.find(address); it != links_.end()) {
-                unresponsive_links_.push_back(std::move(it->second));
-                links_.erase(it);
-            }
-        };
-        const tcp::endpoint peer(asio::ip::make_address(address), settings_.inbound.port());
-        link = std::make_shared<peer_link>(
-            context_, deadlines_, peer, hello_message{settings_.vm.str(), settings_.service.str()},
-            std::move(handlers));
-        links_by_number_[number] = link;
-    }
-    return link;
-}
-
-void call_forwarder::record_buffered_bytes(byte_account::holder number, std::size_t bytes)
-{
-    link_bytes_.set(number, bytes);
-    while (const auto largest = link_bytes_.holder_to_close()) {
-        link_bytes_.set(*largest, 0);
-        if (const auto link = links_by_number_[*largest].lock()) {
-            log_event("peer_cut")
-                .add("reason", "total size of buffered answers exceeds the memory limit")
-                .warning();
-            link->abort();
-        }
-    }
-}
-
 void call_forwarder::record_answer(pending_call& call, const answer_message& answer,
                                    call_outcome outcome)
 {
@@ -334,7 +282,7 @@
         placement_.record_load(*target, load, now);
         levels_.record({route_key(call.matched_route->name), call.service},
                        from_wire_level(answer.level), now);
-        allowance_of(call.service).record_caller(answer.makes_calls);
+        limiter_of(call.service).record_caller(answer.makes_calls);
         if (answer.route_time_ms > 0) {
             const run_time time{std::chrono::milliseconds(answer.route_time_ms),
                                 std::chrono::milliseconds(answer.route_deviation_ms)};
@@ -436,7 +384,7 @@
 {
     call_shares_.record(route_key(call.matched_route->name), succeeded);
     if (succeeded) {
-        local_.record_call_succeeded(call.request.id);
+        local_.runs().record_call_succeeded(call.request.id);
     }
 }
 
@@ -455,26 +403,4 @@
     caller->answer(answer, !draining_);
 }
 
-void call_forwarder::close_unused_links(mono_time now)
-{
-    std::erase_if(links_by_number_, [](const auto& entry) { return entry.second.expired(); });
-    std::erase_if(unresponsive_links_, [](const auto& link) {
-        const bool is_over = link->in_flight() == 0;
-        if (is_over) {
-            link->close();
-        }
-        return is_over;
-    });
-    for (auto it = links_.begin(); it != links_.end();) {
-        const auto& link = it->second;
-        if (link->in_flight() == 0 && now - link->last_used() > link_idle_limit) {
-            link->close();
-            it = links_.erase(it);
-        }
-        else {
-            ++it;
-        }
-    }
-}
-
 } // namespace trefoil
--- a/libs/relay/src/call_forwarder.h
+++ b/libs/relay/src/call_forwarder.h
@@ -3,14 +3,14 @@
 #include "answer_limits.h"
 #include "call_report.h"
 #include "local_target.h"
+#include "node_links.h"
 #include "pending_call.h"
 
-#include "dispatch/byte_account.h"
 #include "dispatch/call_shares.h"
 #include "dispatch/content_fingerprints.h"
 #include "dispatch/entry_admission.h"
 #include "dispatch/placement.h"
-#include "dispatch/retry_allowance.h"
+#include "dispatch/retry_limiter.h"
 #include "dispatch/route_levels.h"
 #include "dispatch/target_directory.h"
 #include "dispatch/weighted_rotation.h"
@@ -52,12 +52,8 @@
     /// From now on, each answer closes its caller's connection.
     void start_draining() { draining_ = true; }
 
-    /// Returns the link to the node at the address; opens it on first use.
-    std::shared_ptr<peer_link> link_to(const std::string& address);
-
-    /// Closes links that have been idle for longer than the idle limit, and unresponsive links
-    /// whose last request has ended.
-    void close_unused_links(mono_time now);
+    /// Connections to the other nodes.
+    node_links& links() noexcept { return links_; }
 
     /// Number of requests that are not answered yet.
     std::size_t in_flight() const noexcept { return calls_.size(); }
@@ -84,12 +80,7 @@
     void finish(const call_ptr& call, relay_answer answer);
     void record_call_result(const pending_call& call, bool succeeded);
     double level_of(const pending_call& call) const;
-    retry_allowance& allowance_of(const service_name& service);
-    /// Stores how many bytes of incomplete messages a link buffers. Aborts the links that buffer
-    /// most while the total exceeds its limit.
-    void record_buffered_bytes(byte_account::holder number, std::size_t bytes);
-
-    asio::io_context& context_;
+    retry_limiter& limiter_of(const service_name& service);
     deadline_queue& deadlines_;
     const relay_settings& settings_;
     target_directory& targets_;
@@ -97,19 +88,13 @@
     call_report report_;
     const crash_exchange& crashes_;
     answer_limits limits_;
-    byte_account link_bytes_;
-    std::unordered_map<byte_account::holder, std::weak_ptr<peer_link>> links_by_number_;
-    byte_account::holder last_link_ = 0;
-    peer_link::handlers link_handlers_;
+    node_links links_;
     placement placement_;
     entry_admission entry_admission_;
     weighted_rotation rotation_;
     route_levels& levels_;
     std::shared_ptr<const route_table> routes_;
-    std::map<std::string, std::shared_ptr<peer_link>> links_;
-    /// Links to nodes that stopped responding; kept until their requests have ended.
-    std::vector<std::shared_ptr<peer_link>> unresponsive_links_;
-    std::map<service_name, retry_allowance> allowances_;
+    std::map<service_name, retry_limiter> retry_limiters_;
     call_shares call_shares_;
     std::unordered_map<const caller_session*, call_ptr> calls_;
     std::mt19937_64 random_;
--- a/libs/relay/src/call_report.cpp
+++ b/libs/relay/src/call_report.cpp
@@ -20,7 +20,8 @@
             .add("config", call.routes->config().version)
             .add("service", call.service)
             .add("level", level)
-            .add("nested", call.nested);
+            .add("nested", call.nested)
+            .add("chance", call.chance);
     }
     if (call.content) {
         line.add("content", call.content->to_string());
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -39,8 +39,9 @@
                            answer_limits limits, const route_levels& levels, decision_log& log,
                            crash_exchange& crashes)
     : deadlines_(deadlines), client_(context, deadlines, upstream, names, limits), log_(log),
-      crashes_(crashes), levels_(levels), queue_(initial_slots), names_(names), context_(context),
-      upstream_(std::move(upstream)), max_body_bytes_(limits.max_total_body_bytes)
+      crashes_(crashes), levels_(levels), queue_(initial_slots), runs_(names.id_separator),
+      names_(names), context_(context), upstream_(std::move(upstream)),
+      max_body_bytes_(limits.max_total_body_bytes)
 {
 }
 
@@ -150,53 +151,13 @@
                                    c.call.host, c.call.headers,    c.call.body,
                                    expected,    c.caller_service,  c.call.idempotent,
                                    c.deadline,  c.was_misdirected, c.call.answer_limit};
-    runs_[c.call.id] = {c.call.route,
-                        c.call.rank,
-                        c.request_deadline,
-                        c.call.repeated,
-                        from_wire_level(c.call.chance),
-                        0,
-                        0,
-                        calls_per_run_.usual(c.call.route)};
+    runs_.start(c.call.id, {c.call.route, c.call.rank, c.request_deadline, c.call.repeated,
+                            from_wire_level(c.call.chance)});
     crash_detector_.record_started(ticket, c.content, boot_clock::now());
     c.exchange = client_.start(
         request, [this, ticket](upstream_result result) { on_result(ticket, std::move(result)); });
 }
 
-std::string local_target::parent_id(const std::string& id) const
-{
-    const auto end = names_.id_separator == 0 ? std::string::npos : id.rfind(names_.id_separator);
-    return end == std::string::npos ? std::string() : id.substr(0, end);
-}
-
-bool local_target::is_call(const std::string& id) const
-{
-    return runs_.contains(parent_id(id));
-}
-
-local_target::parent_run* local_target::find_parent(const std::string& id)
-{
-    const auto it = runs_.find(parent_id(id));
-    return it == runs_.end() ? nullptr : &it->second;
-}
-
-std::optional<local_target::parent_run> local_target::record_call(const std::string& id)
-{
-    auto* const parent = find_parent(id);
-    if (parent == nullptr) {
-        return std::nullopt;
-    }
-    ++parent->calls;
-    return *parent;
-}
-
-void local_target::record_call_succeeded(const std::string& id)
-{
-    if (auto* const parent = find_parent(id)) {
-        ++parent->succeeded_calls;
-    }
-}
-
 void local_target::refuse(std::uint64_t ticket)
 {
     const auto it = calls_.find(ticket);
@@ -239,7 +200,7 @@
     }
     c.was_misdirected = true;
     c.exchange = nullptr;
-    runs_.erase(c.call.id);
+    runs_.end(c.call.id, false);
     awaiting_identity_.push_back(ticket);
     request_identity();
     return true;
@@ -317,10 +278,6 @@
     const auto now = boot_clock::now();
     if (result.outcome == call_outcome::answered) {
         crashes_.answered(call.content, result.answer.status);
-        const auto run = runs_.find(call.call.id);
-        if (run != runs_.end() && result.answer.status < first_failure_status) {
-            calls_per_run_.record(call.call.route, run->second.calls);
-        }
     }
     if (result.is_closed_early || result.is_timed_out) {
         crash_detector_.record_unanswered(ticket, now);
@@ -406,7 +363,7 @@
     calls_.erase(it);
     body_bytes_ -= c.call.body.size();
     if (c.exchange) {
-        runs_.erase(c.call.id);
+        runs_.end(c.call.id, completed && answer.status < first_failure_status);
     }
     const auto now = boot_clock::now();
     queue_.finish(ticket, completed, now);
--- a/libs/relay/src/local_target.h
+++ b/libs/relay/src/local_target.h
@@ -9,11 +9,11 @@
 #include "relay/http_get_client.h"
 
 #include "dispatch/admit_level.h"
-#include "dispatch/calls_per_run.h"
 #include "dispatch/content_fingerprints.h"
 #include "dispatch/drain_rule.h"
 #include "dispatch/route_levels.h"
 #include "dispatch/run_queue.h"
+#include "dispatch/running_requests.h"
 #include "dispatch/target_crash_detector.h"
 #include "dispatch/target_entry.h"
 #include "dispatch/target_identity.h"
@@ -68,32 +68,9 @@
     /// Rejects new requests from now on.
     void start_draining() { draining_ = true; }
 
-    /// Properties that a nested call inherits from the request that the target is running.
-    struct parent_run {
-        std::uint32_t route = 0;
-        std::uint32_t rank = 0;
-        /// Deadline of the request at its entry node.
-        mono_time request_deadline;
-        /// The request was sent to another target before.
-        bool repeated = false;
-        /// Chance that the request at the entry node succeeds if this one does.
-        double chance = 1.0;
-        /// Number of calls that it has made, and of those that succeeded.
-        std::uint32_t calls = 0;
-        std::uint32_t succeeded_calls = 0;
-        /// Number of calls that requests of its route usually make.
-        double usual_calls = 0.0;
-    };
-
-    /// Counts a call for the running request that made it, and returns the request. Returns nothing
-    /// if the call came from a caller outside the target.
-    std::optional<parent_run> record_call(const std::string& id);
-
-    /// Whether a running request made the call with this id.
-    bool is_call(const std::string& id) const;
-
-    /// Records that the call with this id succeeded.
-    void record_call_succeeded(const std::string& id);
+    /// The requests that the target is running, and their calls.
+    running_requests& runs() noexcept { return runs_; }
+    const running_requests& runs() const noexcept { return runs_; }
 
     /// Number of requests that wait or run.
     std::size_t in_flight() const noexcept { return calls_.size(); }
@@ -119,11 +96,6 @@
         bool was_misdirected = false;
     };
 
-    /// Id of the request that made the call with this id, if its form is that of a call.
-    std::string parent_id(const std::string& id) const;
-    /// The running request that made the call with this id; null if there is none.
-    parent_run* find_parent(const std::string& id);
-
     /// Whether the process has room for the body of one more request.
     bool has_room_for(const call_message& call) const;
     void advance();
@@ -152,9 +124,7 @@
     run_queue queue_;
     admit_level level_;
     std::unordered_map<std::uint64_t, running_call> calls_;
-    /// Requests at the target, by id.
-    std::unordered_map<std::string, parent_run> runs_;
-    calls_per_run calls_per_run_;
+    running_requests runs_;
     const header_dialect& names_;
     asio::io_context& context_;
     tcp::endpoint upstream_;
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -104,7 +104,7 @@
     {
         return {[this] { return members_of(targets.entries()); },
                 [this](const std::string& address, std::string bytes) {
-                    forwarder.link_to(address)->send_control(std::move(bytes));
+                    forwarder.links().link_to(address)->send_control(std::move(bytes));
                 },
                 settings.inbound.address().to_string()};
     }
@@ -261,8 +261,8 @@
             return false;
         }
         const auto deadline = forwarder.deadline_of(request);
-        return local.is_call(request.id) ? !drain->accepts_call(deadline)
-                                         : !drain->accepts(request.arrived, deadline);
+        return local.runs().is_call(request.id) ? !drain->accepts_call(deadline)
+                                                : !drain->accepts(request.arrived, deadline);
     }
 
     void reject_draining(const std::shared_ptr<caller_session>& session,
@@ -287,7 +287,7 @@
         for (const auto& id : targets.expire(now)) {
             log_event("target_dropped").add("target", id).add("reason", "not confirmed").info();
         }
-        forwarder.close_unused_links(now);
+        forwarder.links().close_unused(now);
         local.probe_if_silent();
         deadlines.at(now + sweep_interval, [this] { sweep(); });
     }
@@ -450,7 +450,7 @@
 
 void relay_node::request_state(const std::string& address)
 {
-    const auto link = impl_->forwarder.link_to(address);
+    const auto link = impl_->forwarder.links().link_to(address);
     link->request_state();
     link->send_control(impl_->crashes.request_text());
 }
@@ -464,7 +464,7 @@
 
 void relay_node::push_state(const std::string& address, const published_changes& changes)
 {
-    impl_->forwarder.link_to(address)->push_state(impl_->message_of(changes));
+    impl_->forwarder.links().link_to(address)->push_state(impl_->message_of(changes));
 }
 
 gossip_members relay_node::members() const
