--- a/libs/dispatch/tests/retry_limiter_test.cpp
+++ b/libs/dispatch/tests/retry_limiter_test.cpp
@@ -124,8 +124,7 @@
 }
 
 // Guards against spending the limit on requests that will probably fail nevertheless.
-TEST_CASE_METHOD(retry_limiter_fixture,
-                 "retry_limiter_unlikely_request_leaves_retries_to_others")
+TEST_CASE_METHOD(retry_limiter_fixture, "retry_limiter_unlikely_request_leaves_retries_to_others")
 {
     send(20s, 100, 0.0);
     send(5s, 100, 1.0, reserved_share(0.05));
