Use as many slots of a target as it serves the most requests with

Cause: on each site the deepest service takes 1.3 times as long for a request that starts while more than 0.95 of its slots are occupied. The service gives away about a fifth of its capacity in the seconds in which it is short of it.

Hypothesis: with a limit just below the slowdown, more requests are served in the worst seconds, and nothing changes where a target keeps its speed. slot_limiter tries other limits for some runs while all permitted slots are occupied, compares the throughput with that of the runs before and after, and keeps what serves more. Only routes that call no other service count.

--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -39,15 +39,15 @@
                            answer_limits limits, const route_levels& levels, decision_log& log,
                            crash_exchange& crashes)
     : deadlines_(deadlines), client_(context, deadlines, upstream, names, limits), log_(log),
-      crashes_(crashes), levels_(levels), queue_(initial_slots), runs_(names.id_separator),
-      names_(names), context_(context), upstream_(std::move(upstream)),
+      crashes_(crashes), levels_(levels), queue_(initial_slots), slot_limiter_(initial_slots),
+      runs_(names.id_separator), names_(names), context_(context), upstream_(std::move(upstream)),
       max_body_bytes_(limits.max_total_body_bytes)
 {
 }
 
 void local_target::set_entry(const target_entry& entry)
 {
-    queue_.set_slots(std::max(1U, entry.slots));
+    slot_limiter_.set_slots(std::max(1U, entry.slots));
     report_crash("published entry shows a restart",
                  crash_detector_.record_present(entry.id, entry.leaving, boot_clock::now()));
     advance();
@@ -86,12 +86,15 @@
 void local_target::advance()
 {
     const auto now = boot_clock::now();
+    queue_.set_slots(slot_limiter_.limit());
     const auto changes = queue_.advance(now);
     observe(now);
     for (const auto ticket : changes.refused) {
         refuse(ticket);
     }
+    auto running = queue_.load().running - static_cast<std::uint32_t>(changes.started.size());
     for (const auto ticket : changes.started) {
+        slot_limiter_.record_started(ticket, ++running, now);
         start(ticket);
     }
     arm_wakeup();
@@ -367,6 +370,7 @@
     }
     const auto now = boot_clock::now();
     queue_.finish(ticket, completed, now);
+    record_run(ticket, c.call.route, completed && answer.status < first_failure_status);
     const auto load = queue_.load();
     answer.stream = c.call.stream;
     answer.running = load.running;
@@ -383,6 +387,24 @@
     }
 }
 
+void local_target::record_run(std::uint64_t ticket, std::uint32_t route, bool succeeded)
+{
+    const auto now = boot_clock::now();
+    if (!succeeded || levels_.makes_calls(route, now)) {
+        // The time depends on other services, or the target did not do all of the work.
+        slot_limiter_.record_ended(ticket);
+        return;
+    }
+    const auto before = slot_limiter_.best_limit();
+    slot_limiter_.record_answered(ticket, route, now);
+    if (slot_limiter_.best_limit() != before && log_.begin(now)) {
+        log_.write(log_event("slot_limit")
+                       .add("limit", slot_limiter_.best_limit())
+                       .add("was", before)
+                       .add("gain", slot_limiter_.last_gain()));
+    }
+}
+
 double local_target::level_of(std::uint32_t route, mono_time now) const
 {
     return std::min(level_.value(), levels_.min_child_level(route, now));
--- a/libs/relay/src/local_target.h
+++ b/libs/relay/src/local_target.h
@@ -14,6 +14,7 @@
 #include "dispatch/route_levels.h"
 #include "dispatch/run_queue.h"
 #include "dispatch/running_requests.h"
+#include "dispatch/slot_limiter.h"
 #include "dispatch/target_crash_detector.h"
 #include "dispatch/target_entry.h"
 #include "dispatch/target_identity.h"
@@ -113,6 +114,7 @@
     void probe_target();
     void on_probe_result(boost::system::error_code error);
     void finish(std::uint64_t ticket, bool completed, answer_message answer);
+    void record_run(std::uint64_t ticket, std::uint32_t route, bool succeeded);
     void arm_wakeup();
     void observe(mono_time now);
 
@@ -122,6 +124,7 @@
     crash_exchange& crashes_;
     const route_levels& levels_;
     run_queue queue_;
+    slot_limiter slot_limiter_;
     admit_level level_;
     std::unordered_map<std::uint64_t, running_call> calls_;
     running_requests runs_;
