Let the failure share of a target expire

Cause: a target that failed many requests gets none, and so reports no success that would lower its failure share.

The share now counts for e times less each 2 s without a result; a target that goes on failing raises it again with its first request.

placement_target_that_failed_is_used_again_seconds_later fails without the expiry and passes now.

--- a/libs/dispatch/include/dispatch/placement.h
+++ b/libs/dispatch/include/dispatch/placement.h
@@ -49,6 +49,9 @@
     std::chrono::milliseconds max_suspension{2000};
     /// Weight of a new result in the exponentially smoothed failure share.
     double failure_smoothing = 0.1;
+    /// A failure share counts for e times less after this time. A target that gets no requests
+    /// reports no success either, and would otherwise never be tried again.
+    std::chrono::milliseconds failure_lifetime{2000};
 };
 
 /// The request that a target is chosen for.
@@ -103,7 +106,7 @@
     void record_sent(target_state& t) const;
     /// Records that a request is no longer in flight. `failed` is set if the target failed it for a
     /// reason other than overload.
-    void record_ended(target_state& t, bool failed) const;
+    void record_ended(target_state& t, bool failed, mono_time now) const;
     /// Records a load report that was received with a response.
     void record_load(target_state& t, const target_load& load, mono_time now) const;
     /// Records the run time of a route that was reported with a response.
@@ -122,6 +125,7 @@
                   const placed_request& request) const;
     /// Running and waiting requests per slot, with one more request.
     double load_per_slot(const target_state& t, mono_time now) const;
+    double failure_share(const target_state& t, mono_time now) const;
     /// Factor for failures, a missed objective and the network.
     double risk_factor(const target_state& t, mono_time now, const placed_request& request) const;
     double late_chance(const target_state& t, const placed_request& request, mono_time now) const;
--- a/libs/dispatch/include/dispatch/target_state.h
+++ b/libs/dispatch/include/dispatch/target_state.h
@@ -28,8 +28,10 @@
     std::uint32_t in_flight = 0;
     /// Requests sent by this node since the last load report.
     std::uint32_t sent_since_report = 0;
-    /// Exponentially smoothed share of requests that failed for a reason other than overload.
+    /// Exponentially smoothed share of requests that failed for a reason other than overload, as of
+    /// `failures_known_at`.
     double failure_share = 0.0;
+    mono_time failures_known_at;
     /// Gets no new requests before this time, because it or its VM was unreachable.
     mono_time suspended_until;
     /// Number of consecutive suspensions.
--- a/libs/dispatch/src/placement.cpp
+++ b/libs/dispatch/src/placement.cpp
@@ -36,10 +36,16 @@
     return (std::max<double>(reported + t.sent_since_report, t.in_flight) + 1.0) / limit;
 }
 
+double placement::failure_share(const target_state& t, mono_time now) const
+{
+    const std::chrono::duration<double> age = now - t.failures_known_at;
+    return t.failure_share * std::exp(-age / options_.failure_lifetime);
+}
+
 double placement::risk_factor(const target_state& t, mono_time now,
                               const placed_request& request) const
 {
-    double factor = 1.0 + options_.failure_weight * t.failure_share;
+    double factor = 1.0 + options_.failure_weight * failure_share(t, now);
     factor *= 1.0 + options_.late_weight * late_chance(t, request, now);
     if (t.entry.warming && t.load.hold.count() == 0) {
         factor *= options_.warming_factor;
@@ -148,12 +154,14 @@
     ++t.sent_since_report;
 }
 
-void placement::record_ended(target_state& t, bool failed) const
+void placement::record_ended(target_state& t, bool failed, mono_time now) const
 {
     if (t.in_flight > 0) {
         --t.in_flight;
     }
-    t.failure_share += options_.failure_smoothing * ((failed ? 1.0 : 0.0) - t.failure_share);
+    const auto before = failure_share(t, now);
+    t.failure_share = before + options_.failure_smoothing * ((failed ? 1.0 : 0.0) - before);
+    t.failures_known_at = now;
 }
 
 void placement::record_load(target_state& t, const target_load& load, mono_time now) const
--- a/libs/dispatch/tests/placement_test.cpp
+++ b/libs/dispatch/tests/placement_test.cpp
@@ -74,11 +74,28 @@
     add("third", "a");
     for (int i = 0; i < 20; ++i) {
         choice.record_sent(failing);
-        choice.record_ended(failing, i % 2 == 0);
+        choice.record_ended(failing, i % 2 == 0, now);
     }
     CHECK(chosen(300)["failing"] == 0);
 }
 
+// Guards against a target of the own zone that is never used again after a loss of power: other
+// targets get all requests, so that it has no success to report.
+TEST_CASE_METHOD(placement_fixture, "placement_target_that_failed_is_used_again_seconds_later")
+{
+    auto& failed = add("near", "a");
+    auto& other = add("far", "b");
+    for (int i = 0; i < 40; ++i) {
+        choice.record_sent(failed);
+        choice.record_ended(failed, true, now);
+    }
+    CHECK(chosen(100)["near"] == 0);
+    now += 8s;
+    choice.record_load(failed, {2, 0, 10, 50ms}, now);
+    choice.record_load(other, {2, 0, 10, 50ms}, now);
+    CHECK(chosen(100)["near"] == 100);
+}
+
 // Guards against sending a request to a leaving target, or again to a target that was tried.
 TEST_CASE_METHOD(placement_fixture, "placement_leaving_or_tried_target_is_never_chosen")
 {
--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -275,7 +275,7 @@
     call.link = nullptr;
     call.stream = 0;
     call.local_ticket = 0;
-    placement_.record_ended(*target, is_failure(answer, outcome));
+    placement_.record_ended(*target, is_failure(answer, outcome), now);
     if (answer.limit > 0) {
         const target_load load{answer.running, answer.waiting, answer.limit,
                                std::chrono::milliseconds(answer.hold_ms)};
@@ -337,7 +337,7 @@
         return;
     }
     const auto target = std::exchange(call.target, nullptr);
-    placement_.record_ended(*target, false);
+    placement_.record_ended(*target, false, boot_clock::now());
     if (call.link) {
         std::exchange(call.link, nullptr)->cancel(call.stream);
     }
