Test the limit on slots with two routes and an interrupted trial

Runs of unlike length may not hide the slowdown of a nearly full target, and a trial that calm interrupts ends.

--- a/libs/dispatch/tests/slot_limiter_test.cpp
+++ b/libs/dispatch/tests/slot_limiter_test.cpp
@@ -23,12 +23,17 @@
     std::chrono::duration<double> mean_run = 28ms;
     double full_share = 0.95;
     double slowdown = 1.3;
+    /// Share of the requests that are of a second route, whose runs are `long_factor` times as
+    /// long.
+    double long_share = 0.0;
+    static constexpr double long_factor = 5.0;
 
     /// Requests per second with the best number of slots in use.
     double capacity() const
     {
         const auto fast_slots = std::min(slots - 1.0, std::ceil(full_share * slots) - 1.0);
-        return std::max(slots / slowdown, fast_slots) / mean_run.count();
+        const auto mean_time = mean_run.count() * (1.0 + long_share * (long_factor - 1.0));
+        return std::max(slots / slowdown, fast_slots) / mean_time;
     }
 };
 
@@ -61,20 +66,27 @@
                 ++running;
                 limiter.record_started(ticket, static_cast<std::uint32_t>(running), now);
                 const bool is_full = running >= target.full_share * target.slots;
-                ends.emplace(now + run_time_of(target, factor * (is_full ? target.slowdown : 1.0)),
-                             ticket);
+                const double length = is_long(target, ticket) ? target.long_factor : 1.0;
+                const double full_factor = is_full ? target.slowdown : 1.0;
+                ends.emplace(now + run_time_of(target, factor * length * full_factor), ticket);
             }
             const auto [when, ticket] = *ends.begin();
             ends.erase(ends.begin());
             now = when;
             queue.finish(ticket, true, now);
-            limiter.record_answered(ticket, 1, now);
+            limiter.record_answered(ticket, is_long(target, ticket) ? 2 : 1, now);
             served += now - start > warm_up ? factor : 0.0;
         }
         return served / (target.capacity() * std::chrono::duration<double>(length).count());
     }
 
 private:
+    static bool is_long(const nearly_full_target& target, std::uint64_t ticket)
+    {
+        constexpr std::uint64_t cycle = 20;
+        return static_cast<double>(ticket % cycle) < target.long_share * cycle;
+    }
+
     mono_time::duration run_time_of(const nearly_full_target& target, double factor)
     {
         std::gamma_distribution<double> run(4.0, 0.25);
@@ -92,7 +104,8 @@
 {
     const auto target =
         GENERATE(nearly_full_target{}, nearly_full_target{23, 55ms}, nearly_full_target{255, 40ms},
-                 nearly_full_target{100, 20ms, 0.9, 1.4}, nearly_full_target{50, 15ms, 0.85, 1.5});
+                 nearly_full_target{100, 20ms, 0.9, 1.4}, nearly_full_target{50, 15ms, 0.85, 1.5},
+                 nearly_full_target{35, 28ms, 0.95, 1.3, 0.1});
     INFO("slots " << target.slots << " full share " << target.full_share);
     CHECK(goodput(target, 5s, 20s) >= promised_goodput);
 }
@@ -124,6 +137,25 @@
     CHECK(goodput(target, 5s, 20s, slowness) >= promised_goodput);
 }
 
+// Guards against a trial that goes on after the overload has ended, and whose averages would then
+// come from different times.
+TEST_CASE_METHOD(slot_limiter_fixture, "slot_limiter_trial_interrupted_by_calm_is_abandoned")
+{
+    constexpr std::uint32_t slots = 20;
+    slot_limiter limiter(slots);
+    mono_time now(1h);
+    std::uint64_t ticket = 0;
+    while (limiter.limit() == slots && ticket < 1000) {
+        limiter.record_started(++ticket, limiter.limit(), now);
+        now += 10ms;
+        limiter.record_answered(ticket, 1, now);
+    }
+    CHECK(limiter.limit() < slots);
+    now += 6s;
+    limiter.record_started(++ticket, 1, now);
+    CHECK(limiter.limit() == slots);
+}
+
 // Guards against a limit that outlives the number of slots from which it was learned.
 TEST_CASE_METHOD(slot_limiter_fixture, "slot_limiter_new_number_of_slots_is_used")
 {
