Tell refused callers to return in time for their latency objective

Cause: under overload that lasts, a refused caller was told to return after up to 1.7 s, whatever its latency objective.

Hypothesis: overload lasts longer than the difference between an early and a late return, so that the chance to be admitted is the same, while the answer after an early one is in time. entry_admission keeps the usual answer time of each route and lets retry_after end that time and one deviation before the objective, with the same relative jitter. An objective that cannot be met after 300 ms changes nothing.

entry_admission_return_leaves_time_for_the_objective fails on the code before (up to 2 s).

--- a/libs/dispatch/src/entry_admission.cpp
+++ b/libs/dispatch/src/entry_admission.cpp
@@ -3,6 +3,8 @@
 #include "base/hash.h"
 #include "dispatch/admit_level.h"
 
+#include <algorithm>
+
 namespace trefoil {
 
 namespace {
@@ -17,23 +19,46 @@
 
 } // namespace
 
-entry_decision entry_admission::decide(std::uint32_t route, double level, std::uint32_t rank,
+entry_decision entry_admission::decide(const entering_request& request, double level,
                                        std::uint64_t random)
 {
     // A random initial credit keeps the nodes from admitting in lockstep.
-    auto& credit = credits_.try_emplace(route, fraction_of(mix64(random))).first->second;
-    credit += admit_level::share_of_rank(level, rank);
+    auto& credit = credits_.try_emplace(request.route, fraction_of(mix64(random))).first->second;
+    credit += admit_level::share_of_rank(level, request.rank);
     if (credit >= 1.0) {
         credit -= 1.0;
         return {};
     }
-    return {false, retry_after(level, random)};
+    return {false, retry_after(request, level, random)};
+}
+
+void entry_admission::record_answered(std::uint32_t route, std::chrono::duration<double> time)
+{
+    answer_times_[route].record(time, options_.answer_smoothing);
+}
+
+std::chrono::duration<double, std::milli>
+entry_admission::latest_return(const entering_request& request) const
+{
+    const auto known = answer_times_.find(request.route);
+    if (known == answer_times_.end()) {
+        return {};
+    }
+    const auto& answer = known->second;
+    const std::chrono::duration<double, std::milli> left =
+        request.objective_left - answer.mean - options_.answer_deviations * answer.deviation;
+    return std::max(left, {});
 }
 
-std::chrono::milliseconds entry_admission::retry_after(double level, std::uint64_t random) const
+std::chrono::milliseconds entry_admission::retry_after(const entering_request& request,
+                                                       double level, std::uint64_t random) const
 {
-    const std::chrono::duration<double, std::milli> mean =
+    std::chrono::duration<double, std::milli> mean =
         options_.min_retry_after + options_.retry_after_range * (1.0 - level);
+    const auto latest = latest_return(request) / (1.0 + options_.jitter);
+    if (latest >= options_.min_retry_after) {
+        mean = std::min(mean, latest);
+    }
     const double factor = 1.0 + options_.jitter * (2.0 * fraction_of(mix64(random + 1)) - 1.0);
     return std::chrono::duration_cast<std::chrono::milliseconds>(mean * factor);
 }
--- a/libs/dispatch/tests/deep_service_load.h
+++ b/libs/dispatch/tests/deep_service_load.h
@@ -200,7 +200,7 @@
     ++counted.offered;
     const auto entry_node = random_() % levels_.size();
     const auto level = levels_[entry_node].level_of(deep_route(), now_);
-    if (!admissions_[entry_node].decide(1, level, 1, random_()).admitted) {
+    if (!admissions_[entry_node].decide({1, 1}, level, random_()).admitted) {
         ++counted.refused;
         return;
     }
--- a/libs/dispatch/tests/entry_admission_test.cpp
+++ b/libs/dispatch/tests/entry_admission_test.cpp
@@ -21,7 +21,7 @@
     {
         int count = 0;
         for (std::uint64_t i = 0; i < 1000; ++i) {
-            count += admission.decide(1, level, rank, i).admitted ? 1 : 0;
+            count += admission.decide({1, rank}, level, i).admitted ? 1 : 0;
         }
         return count;
     }
@@ -65,7 +65,7 @@
 {
     int since_admitted = 0;
     for (std::uint64_t i = 0; i < 1000; ++i) {
-        const bool admitted = admission.decide(1, 0.1, 1, i).admitted;
+        const bool admitted = admission.decide({1, 1}, 0.1, i).admitted;
         ++since_admitted;
         if (admitted && i >= 10) {
             CHECK(since_admitted >= 9);
@@ -75,6 +75,32 @@
     }
 }
 
+// Guards against callers of a long overload that return as told and are admitted, but answered too
+// late for their latency objective.
+TEST_CASE_METHOD(entry_admission_fixture, "entry_admission_return_leaves_time_for_the_objective")
+{
+    constexpr auto objective = 1500ms;
+    for (int i = 0; i < 100; ++i) {
+        admission.record_answered(1, 500ms);
+    }
+    for (std::uint64_t i = 0; i < 1000; ++i) {
+        const auto returned = admission.retry_after({1, 1, objective}, 0.05, i);
+        CHECK(returned + 500ms <= objective);
+        CHECK(returned >= 300ms);
+    }
+}
+
+// Guards against callers that return at once, because the objective cannot be met any more.
+TEST_CASE_METHOD(entry_admission_fixture, "entry_admission_missed_objective_spreads_the_returns")
+{
+    for (int i = 0; i < 100; ++i) {
+        admission.record_answered(1, 500ms);
+    }
+    for (std::uint64_t i = 0; i < 1000; ++i) {
+        CHECK(admission.retry_after({1, 1, 250ms}, 0.05, i) == admission.retry_after({}, 0.05, i));
+    }
+}
+
 // Guards against nodes that admit and reject in lockstep.
 TEST_CASE("entry_admission_several_nodes_admit_at_different_times")
 {
@@ -82,7 +108,7 @@
     for (std::uint64_t node = 0; node < 100; ++node) {
         entry_admission admission;
         std::uint64_t requests = 1;
-        while (!admission.decide(1, 0.1, 1, node).admitted) {
+        while (!admission.decide({1, 1}, 0.1, node).admitted) {
             ++requests;
         }
         first_admitted.insert(requests);
@@ -96,11 +122,11 @@
 {
     std::set<std::chrono::milliseconds> retry_times;
     for (std::uint64_t i = 0; i < 1000; ++i) {
-        retry_times.insert(admission.retry_after(0.5, i));
+        retry_times.insert(admission.retry_after({}, 0.5, i));
     }
     CHECK(*retry_times.begin() > 0ms);
     CHECK(retry_times.size() > 300);
-    CHECK(admission.retry_after(0.1, 1) > admission.retry_after(0.9, 1));
+    CHECK(admission.retry_after({}, 0.1, 1) > admission.retry_after({}, 0.9, 1));
 }
 
 // Guards against running a request twice: without a response it is unknown whether the request ran.
--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -192,13 +192,25 @@
     }
 }
 
+std::chrono::milliseconds call_forwarder::objective_left(const pending_call& call, mono_time now)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        call.request.arrived + call.matched_route->objective - now);
+}
+
+entering_request call_forwarder::entering_request_of(const pending_call& call)
+{
+    return {route_key(call.matched_route->name), call.rank,
+            objective_left(call, boot_clock::now())};
+}
+
 bool call_forwarder::admit(const call_ptr& call)
 {
     if (call->nested) {
         return true; // Rejecting it would waste the work done for its parent request.
     }
-    const auto decision = entry_admission_.decide(route_key(call->matched_route->name),
-                                                  level_of(*call), call->rank, random_());
+    const auto decision =
+        entry_admission_.decide(entering_request_of(*call), level_of(*call), random_());
     if (!decision.admitted) {
         refuse(call, refusal_reason::admit_fraction, decision.retry_after);
     }
@@ -208,11 +220,9 @@
 void call_forwarder::send(const call_ptr& call)
 {
     const auto now = boot_clock::now();
-    const auto objective_left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        call->request.arrived + call->matched_route->objective - now);
     const auto target =
         placement_.choose(targets_.targets(call->service), call->tried, random_(), now,
-                          {route_key(call->matched_route->name), objective_left});
+                          {route_key(call->matched_route->name), objective_left(*call, now)});
     if (!target) {
         finish_unanswered(call, call_outcome::unreachable);
         return;
@@ -328,7 +338,7 @@
         return;
     }
     refuse(call, refusal_reason::no_target,
-           entry_admission_.retry_after(level_of(*call), random_()));
+           entry_admission_.retry_after(entering_request_of(*call), level_of(*call), random_()));
 }
 
 void call_forwarder::cancel_attempt(pending_call& call)
@@ -395,8 +405,13 @@
     if (!caller) {
         return;
     }
+    const bool succeeded = answer.status < first_failure_status;
     if (call->nested) {
-        record_call_result(*call, answer.status < first_failure_status);
+        record_call_result(*call, succeeded);
+    }
+    else if (succeeded) {
+        entry_admission_.record_answered(route_key(call->matched_route->name),
+                                         boot_clock::now() - call->request.arrived);
     }
     calls_.erase(caller.get());
     answer.headers += header_line(settings_.headers.request_id, call->request.id);
--- a/libs/relay/src/call_forwarder.h
+++ b/libs/relay/src/call_forwarder.h
@@ -66,6 +66,8 @@
     bool may_retry(pending_call& call, call_outcome ended);
     static mono_time deadline_of(const relay_request& request, const route& matched);
     void record_parent(pending_call& call);
+    static std::chrono::milliseconds objective_left(const pending_call& call, mono_time now);
+    static entering_request entering_request_of(const pending_call& call);
     bool admit(const call_ptr& call);
     void send(const call_ptr& call);
     void send_to(const call_ptr& call, const std::shared_ptr<target_state>& target);
