Count the running requests of the replayed target in 32 bits

clang-tidy reports the conversion of a 64-bit count to a floating-point number in slot_limiter_test.cpp; the count is that of the queue, which has 32 bits. Lint is clean for the file; no check changed.

--- a/libs/dispatch/tests/slot_limiter_test.cpp
+++ b/libs/dispatch/tests/slot_limiter_test.cpp
@@ -61,10 +61,11 @@
             queue.set_slots(limiter.limit());
             const double factor = now - start > warm_up + length / 2 ? slowness : 1.0;
             const auto changes = queue.advance(now);
-            auto running = queue.load().running - changes.started.size();
+            auto running =
+                queue.load().running - static_cast<std::uint32_t>(changes.started.size());
             for (const auto ticket : changes.started) {
                 ++running;
-                limiter.record_started(ticket, static_cast<std::uint32_t>(running), now);
+                limiter.record_started(ticket, running, now);
                 const bool is_full = running >= target.full_share * target.slots;
                 const double length = is_long(target, ticket) ? target.long_factor : 1.0;
                 const double full_factor = is_full ? target.slowdown : 1.0;
@@ -84,7 +85,7 @@
     static bool is_long(const nearly_full_target& target, std::uint64_t ticket)
     {
         constexpr std::uint64_t cycle = 20;
-        return static_cast<double>(ticket % cycle) < target.long_share * cycle;
+        return static_cast<double>(ticket % cycle) < target.long_share * static_cast<double>(cycle);
     }
 
     mono_time::duration run_time_of(const nearly_full_target& target, double factor)
