--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -192,18 +192,6 @@
     }
 }
 
-std::chrono::milliseconds call_forwarder::objective_left(const pending_call& call, mono_time now)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-        call.request.arrived + call.matched_route->objective - now);
-}
-
-entering_request call_forwarder::entering_request_of(const pending_call& call)
-{
-    return {route_key(call.matched_route->name), call.rank,
-            objective_left(call, boot_clock::now())};
-}
-
 bool call_forwarder::admit(const call_ptr& call)
 {
     if (call->nested) {
@@ -230,39 +218,12 @@
     send_to(call, target);
 }
 
-call_message call_forwarder::message_of(const pending_call& call, const target_state& target) const
-{
-    const auto left =
-        std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - boot_clock::now());
-    call_message message;
-    message.time_left_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(1, left.count()));
-    const auto extra = std::chrono::duration_cast<std::chrono::milliseconds>(call.request_deadline -
-                                                                             call.deadline);
-    message.request_extra_ms = static_cast<std::uint32_t>(extra.count());
-    message.route = route_key(call.matched_route->name);
-    message.rank = call.rank;
-    message.idempotent = call.matched_route->idempotent;
-    message.nested = call.nested;
-    message.target_id = target.entry.id.id;
-    message.id = call.request.id;
-    message.method = call.request.method;
-    message.target = call.request.target;
-    message.host = call.request.host;
-    message.headers = call.request.headers;
-    message.body = call.request.body;
-    message.answer_limit = limits_.max_answer_bytes;
-    message.service = call.service.str();
-    message.repeated = call.is_part_of_retry || call.history.received_attempts > 0;
-    message.chance = to_wire_level(call.chance);
-    return message;
-}
-
 void call_forwarder::send_to(const call_ptr& call, const std::shared_ptr<target_state>& target)
 {
     call->target = target;
     call->tried.push_back(target->entry.id.id);
     placement_.record_sent(*target);
-    auto message = message_of(*call, *target);
+    auto message = call_message_of(*call, *target, limits_.max_answer_bytes);
     auto done = [this, call](answer_message answer) { on_answer(call, std::move(answer)); };
     if (target->entry.address == settings_.inbound.address().to_string()) {
         const auto ticket =
--- a/libs/relay/src/call_forwarder.h
+++ b/libs/relay/src/call_forwarder.h
@@ -66,12 +66,9 @@
     bool may_retry(pending_call& call, call_outcome ended);
     static mono_time deadline_of(const relay_request& request, const route& matched);
     void record_parent(pending_call& call);
-    static std::chrono::milliseconds objective_left(const pending_call& call, mono_time now);
-    static entering_request entering_request_of(const pending_call& call);
     bool admit(const call_ptr& call);
     void send(const call_ptr& call);
     void send_to(const call_ptr& call, const std::shared_ptr<target_state>& target);
-    call_message message_of(const pending_call& call, const target_state& target) const;
     void on_answer(const call_ptr& call, answer_message answer);
     void record_answer(pending_call& call, const answer_message& answer, call_outcome outcome);
     void finish_unanswered(const call_ptr& call, call_outcome last);
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -17,13 +17,6 @@
 /// slot like a request.
 constexpr std::chrono::milliseconds identity_timeout{500};
 
-/// Delay between the first connection that the target closes and the probe whether it crashed. When
-/// a process exits, its connections and its port close within a few milliseconds of each other.
-constexpr std::chrono::milliseconds probe_delay{30};
-
-/// Timeout of the probe. A target on the same machine accepts within a millisecond or not at all.
-constexpr std::chrono::milliseconds probe_timeout{500};
-
 /// Smallest change of the admit level that is logged.
 constexpr double logged_step = 0.1;
 
@@ -40,16 +33,16 @@
                            crash_exchange& crashes)
     : deadlines_(deadlines), client_(context, deadlines, upstream, names, limits), log_(log),
       crashes_(crashes), levels_(levels), queue_(initial_slots), slot_limiter_(initial_slots),
-      runs_(names.id_separator), names_(names), context_(context), upstream_(std::move(upstream)),
-      max_body_bytes_(limits.max_total_body_bytes)
+      runs_(names.id_separator), names_(names), context_(context), upstream_(upstream),
+      max_body_bytes_(limits.max_total_body_bytes),
+      crash_watch_(context, deadlines, std::move(upstream), crashes)
 {
 }
 
 void local_target::set_entry(const target_entry& entry)
 {
     slot_limiter_.set_slots(std::max(1U, entry.slots));
-    report_crash("published entry shows a restart",
-                 crash_detector_.record_present(entry.id, entry.leaving, boot_clock::now()));
+    crash_watch_.record_present(entry.id, entry.leaving, "published entry shows a restart");
     advance();
 }
 
@@ -156,7 +149,7 @@
                                    c.deadline,  c.was_misdirected, c.call.answer_limit};
     runs_.start(c.call.id, {c.call.route, c.call.rank, c.request_deadline, c.call.repeated,
                             from_wire_level(c.call.chance)});
-    crash_detector_.record_started(ticket, c.content, boot_clock::now());
+    crash_watch_.detector().record_started(ticket, c.content, boot_clock::now());
     c.exchange = client_.start(
         request, [this, ticket](upstream_result result) { on_result(ticket, std::move(result)); });
 }
@@ -234,9 +227,7 @@
         .info();
     if (is_known) {
         identity_.record_id(std::string(*id));
-        report_crash(
-            "status check returned a new id",
-            crash_detector_.record_present({std::string(*id), 0}, false, boot_clock::now()));
+        crash_watch_.record_present({std::string(*id), 0}, false, "status check returned a new id");
     }
     for (const auto ticket : std::exchange(awaiting_identity_, {})) {
         const auto it = calls_.find(ticket);
@@ -256,7 +247,7 @@
 void local_target::on_result(std::uint64_t ticket, upstream_result result)
 {
     if (result.is_misdirected) {
-        crash_detector_.record_not_run(
+        crash_watch_.detector().record_not_run(
             ticket); // It did not run, and is sent again with the current id.
         if (requeue_for_identity(ticket)) {
             return;
@@ -283,13 +274,13 @@
         crashes_.answered(call.content, result.answer.status);
     }
     if (result.is_closed_early || result.is_timed_out) {
-        crash_detector_.record_unanswered(ticket, now);
+        crash_watch_.detector().record_unanswered(ticket, now);
     }
     else if (result.outcome == call_outcome::unreachable) {
-        crash_detector_.record_not_run(ticket);
+        crash_watch_.detector().record_not_run(ticket);
     }
     else {
-        crash_detector_.record_answered(ticket, now);
+        crash_watch_.detector().record_answered(ticket, now);
     }
     if (result.is_closed_early) {
         on_closed_early(call);
@@ -305,55 +296,7 @@
                        .add("content", call.content.request.to_string())
                        .add("running", load().running));
     }
-    if (!std::exchange(is_probe_pending_, true)) {
-        deadlines_.at(now + probe_delay, [this] { probe_target(); });
-    }
-}
-
-void local_target::probe_if_silent()
-{
-    if (crash_detector_.should_probe(boot_clock::now()) &&
-        !std::exchange(is_probe_pending_, true)) {
-        probe_target();
-    }
-}
-
-void local_target::report_crash(const char* sign,
-                                const target_crash_detector::request_fingerprints& running)
-{
-    if (running.empty()) {
-        return;
-    }
-    log_event("target_ended").add("sign", sign).add("running", running.size()).warning();
-    crashes_.target_crashed(running);
-}
-
-void local_target::probe_target()
-{
-    const auto socket = std::make_shared<tcp::socket>(context_);
-    deadlines_.at(boot_clock::now() + probe_timeout, [weak = std::weak_ptr(socket)] {
-        if (const auto open = weak.lock()) {
-            boost::system::error_code ignored; // Closing the socket ends the connect attempt.
-            open->close(ignored);
-        }
-    });
-    socket->async_connect(upstream_, [this, socket](auto error) { on_probe_result(error); });
-}
-
-void local_target::on_probe_result(boost::system::error_code error)
-{
-    is_probe_pending_ = false;
-    log_event("target_checked")
-        .add("result", error ? error.message() : std::string("accepts connections"))
-        .info();
-    if (error == asio::error::connection_refused) {
-        report_crash("refuses connections", crash_detector_.record_terminated(boot_clock::now()));
-    }
-    else if (error == asio::error::operation_aborted || error == asio::error::timed_out) {
-        report_crash("connection attempt timed out",
-                     crash_detector_.record_terminated(boot_clock::now()));
-    }
-    // Other errors, such as a lack of file descriptors, are faults of this node.
+    crash_watch_.probe_after_close();
 }
 
 void local_target::finish(std::uint64_t ticket, bool completed, answer_message answer)
@@ -427,7 +370,7 @@
     }
     if (it->second.exchange) {
         upstream_client::cancel(it->second.exchange);
-        crash_detector_.record_unanswered(ticket, boot_clock::now());
+        crash_watch_.detector().record_unanswered(ticket, boot_clock::now());
     }
     finish(ticket, false, {});
     advance();
--- a/libs/relay/src/local_target.h
+++ b/libs/relay/src/local_target.h
@@ -4,6 +4,7 @@
 #include "deadline_queue.h"
 #include "decision_log.h"
 #include "node_message.h"
+#include "target_crash_watch.h"
 #include "upstream_client.h"
 
 #include "relay/http_get_client.h"
@@ -15,7 +16,6 @@
 #include "dispatch/run_queue.h"
 #include "dispatch/running_requests.h"
 #include "dispatch/slot_limiter.h"
-#include "dispatch/target_crash_detector.h"
 #include "dispatch/target_entry.h"
 #include "dispatch/target_identity.h"
 
@@ -29,8 +29,7 @@
 
 namespace trefoil {
 
-/// The target on this node's VM: queues requests for it, sends them to it, detects its crashes and
-/// reports its load.
+/// The target on this node's VM: queues requests for it, sends them to it and reports its load.
 class local_target {
 public:
     using answer_handler = std::function<void(answer_message)>;
@@ -61,7 +60,7 @@
     void cancel(std::uint64_t ticket);
 
     /// Probes the target if it has requests but sends no answers. To be called periodically.
-    void probe_if_silent();
+    void probe_if_silent() { crash_watch_.probe_if_silent(); }
 
     /// Rejects requests that might not end before the process from now on.
     void set_drain(const drain_rule& drain) { drain_ = drain; }
@@ -109,10 +108,6 @@
     void record_result(std::uint64_t ticket, const running_call& call,
                        const upstream_result& result);
     void on_closed_early(const running_call& call);
-    void report_crash(const char* sign, const target_crash_detector::request_fingerprints& running);
-    /// Opens a connection to the target to find out whether it crashed or only closed a connection.
-    void probe_target();
-    void on_probe_result(boost::system::error_code error);
     void finish(std::uint64_t ticket, bool completed, answer_message answer);
     void record_run(std::uint64_t ticket, std::uint32_t route, bool succeeded);
     void arm_wakeup();
@@ -141,8 +136,7 @@
     std::size_t body_bytes_ = 0;
     std::size_t max_body_bytes_;
     std::uint64_t last_ticket_ = 0;
-    target_crash_detector crash_detector_;
-    bool is_probe_pending_ = false;
+    target_crash_watch crash_watch_;
     mono_time armed_for_ = mono_time::max();
     double logged_level_ = 1.0;
     std::optional<drain_rule> drain_;
--- a/libs/relay/src/pending_call.h
+++ b/libs/relay/src/pending_call.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "caller_session.h"
+#include "node_message.h"
 #include "peer_link.h"
 #include "relay_call.h"
 
+#include "dispatch/entry_admission.h"
 #include "dispatch/retry_rule.h"
 #include "dispatch/route_table.h"
 #include "dispatch/target_state.h"
@@ -47,4 +49,14 @@
     std::optional<content_fingerprint> content;
 };
 
+/// Time until the latency objective of the request's route; negative once it has passed.
+std::chrono::milliseconds objective_left(const pending_call& call, mono_time now);
+
+/// The request as entry_admission sees it.
+entering_request entering_request_of(const pending_call& call);
+
+/// The message that takes the request to the node of the target.
+call_message call_message_of(const pending_call& call, const target_state& target,
+                             std::size_t max_answer_bytes);
+
 } // namespace trefoil
