Show that a target that joins in calm gets no requests

Cause, by the test: a target without a load report counts as half loaded, which is more than the others in calm, so that it is never chosen and never reports.

--- a/libs/dispatch/tests/placement_test.cpp
+++ b/libs/dispatch/tests/placement_test.cpp
@@ -96,6 +96,17 @@
     CHECK(chosen(100)["near"] == 100);
 }
 
+// Guards against a target that joins in calm and gets no requests: its load is unknown until it
+// answers one, and counts as higher than that of the others.
+TEST_CASE_METHOD(placement_fixture, "placement_joined_target_without_load_report_gets_requests")
+{
+    add("known", "a");
+    auto& joined = add("joined", "a");
+    joined.load = {};
+    joined.load_known_at = mono_time();
+    CHECK(chosen(300)["joined"] > 0);
+}
+
 // Guards against sending a request to a leaving target, or again to a target that was tried.
 TEST_CASE_METHOD(placement_fixture, "placement_leaving_or_tried_target_is_never_chosen")
 {
