--- a/libs/relay/tests/planned_stop_test.cpp
+++ b/libs/relay/tests/planned_stop_test.cpp
@@ -132,7 +132,7 @@
     stop(*front);
     press(grace, {front});
     run_until([this] { return ended.size() == 1; });
-    CHECK(misled() == std::vector<std::string>());
+    CHECK_THAT(misled(), Catch::Equals(std::vector<std::string>()));
     CHECK(!statuses.empty());
 }
 
@@ -145,7 +145,7 @@
     run_until([this] { return ended.size() == 1; });
     context.run_for(timeout);
     context.restart();
-    CHECK(misled() == std::vector<std::string>());
+    CHECK_THAT(misled(), Catch::Equals(std::vector<std::string>()));
     CHECK(runs.size() > 10);
 }
 
@@ -160,5 +160,5 @@
     run_until([this] { return ended.size() == 2; });
     context.run_for(timeout);
     context.restart();
-    CHECK(misled() == std::vector<std::string>());
+    CHECK_THAT(misled(), Catch::Equals(std::vector<std::string>()));
 }
