--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -107,11 +107,7 @@
         refuse(call, refusal_reason::quarantined, *left);
         return;
     }
-    auto timeout = call->matched_route->timeout;
-    if (call->request.caller_timeout.count() > 0) {
-        timeout = std::min(timeout, call->request.caller_timeout);
-    }
-    call->deadline = call->request.arrived + timeout;
+    call->deadline = deadline_of(call->request, *call->matched_route);
     call->service = rotation_.next(*call->matched_route);
     record_parent(*call);
     if (!admit(call)) {
@@ -133,6 +129,21 @@
     send(call);
 }
 
+mono_time call_forwarder::deadline_of(const relay_request& request, const route& matched)
+{
+    auto timeout = matched.timeout;
+    if (request.caller_timeout.count() > 0) {
+        timeout = std::min(timeout, request.caller_timeout);
+    }
+    return request.arrived + timeout;
+}
+
+mono_time call_forwarder::deadline_of(const relay_request& request) const
+{
+    const auto* const matched = routes_ ? routes_->find(request.host, request.target) : nullptr;
+    return matched == nullptr ? request.arrived : deadline_of(request, *matched);
+}
+
 content_fingerprints call_forwarder::content_of(const relay_request& request) const
 {
     return fingerprints_of(
--- a/libs/relay/src/call_forwarder.h
+++ b/libs/relay/src/call_forwarder.h
@@ -42,6 +42,10 @@
     /// Admits and forwards one request, or answers it with an error.
     void handle(const std::shared_ptr<caller_session>& caller, relay_request request);
 
+    /// When the request must be answered, by its route's timeout and its caller's. The time of its
+    /// arrival if no route matches it.
+    mono_time deadline_of(const relay_request& request) const;
+
     /// Cancels the request in progress of a caller that closed its connection.
     void caller_disconnected(const std::shared_ptr<caller_session>& caller);
 
@@ -64,6 +68,7 @@
     content_fingerprints content_of(const relay_request& request) const;
     std::optional<std::chrono::milliseconds> quarantine_left(pending_call& call) const;
     bool may_retry(pending_call& call, call_outcome ended);
+    static mono_time deadline_of(const relay_request& request, const route& matched);
     void record_parent(pending_call& call);
     bool admit(const call_ptr& call);
     void send(const call_ptr& call);
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -67,7 +67,8 @@
         fingerprints_of({call.method, call.host, call.target, call.body, caller_service});
     calls_.emplace(ticket, running_call{std::move(call), content, caller_service, std::move(done),
                                         nullptr, deadline, request_deadline, now});
-    if (draining_ || !fits || crashes_.quarantine_left(content)) {
+    const bool may_be_cut = drain_ && !drain_->can_finish(deadline);
+    if (draining_ || may_be_cut || !fits || crashes_.quarantine_left(content)) {
         refuse(ticket);
         return ticket;
     }
@@ -162,10 +163,20 @@
         request, [this, ticket](upstream_result result) { on_result(ticket, std::move(result)); });
 }
 
-local_target::parent_run* local_target::find_parent(const std::string& id)
+std::string local_target::parent_id(const std::string& id) const
 {
     const auto end = names_.id_separator == 0 ? std::string::npos : id.rfind(names_.id_separator);
-    const auto it = end == std::string::npos ? runs_.end() : runs_.find(id.substr(0, end));
+    return end == std::string::npos ? std::string() : id.substr(0, end);
+}
+
+bool local_target::is_call(const std::string& id) const
+{
+    return runs_.contains(parent_id(id));
+}
+
+local_target::parent_run* local_target::find_parent(const std::string& id)
+{
+    const auto it = runs_.find(parent_id(id));
     return it == runs_.end() ? nullptr : &it->second;
 }
 
@@ -199,7 +210,7 @@
                        .add("id", it->second.call.id)
                        .add("content", it->second.content.request.to_string())
                        .add("held_back", crashes_.quarantine_left(it->second.content).has_value())
-                       .add("draining", draining_)
+                       .add("draining", drain_.has_value())
                        .add("body_bytes", body_bytes_)
                        .add("waited_ms", (now - it->second.offered) / std::chrono::milliseconds(1))
                        .add("left_ms", (it->second.deadline - now) / std::chrono::milliseconds(1))
--- a/libs/relay/src/local_target.h
+++ b/libs/relay/src/local_target.h
@@ -11,6 +11,7 @@
 #include "dispatch/admit_level.h"
 #include "dispatch/calls_per_run.h"
 #include "dispatch/content_fingerprints.h"
+#include "dispatch/drain_rule.h"
 #include "dispatch/route_levels.h"
 #include "dispatch/run_queue.h"
 #include "dispatch/target_crash_detector.h"
@@ -61,6 +62,9 @@
     /// Probes the target if it has requests but sends no answers. To be called periodically.
     void probe_if_silent();
 
+    /// Rejects requests that might not end before the process from now on.
+    void set_drain(const drain_rule& drain) { drain_ = drain; }
+
     /// Rejects new requests from now on.
     void start_draining() { draining_ = true; }
 
@@ -85,6 +89,9 @@
     /// if the call came from a caller outside the target.
     std::optional<parent_run> record_call(const std::string& id);
 
+    /// Whether a running request made the call with this id.
+    bool is_call(const std::string& id) const;
+
     /// Records that the call with this id succeeded.
     void record_call_succeeded(const std::string& id);
 
@@ -112,6 +119,8 @@
         bool was_misdirected = false;
     };
 
+    /// Id of the request that made the call with this id, if its form is that of a call.
+    std::string parent_id(const std::string& id) const;
     /// The running request that made the call with this id; null if there is none.
     parent_run* find_parent(const std::string& id);
 
@@ -163,6 +172,7 @@
     bool is_probe_pending_ = false;
     mono_time armed_for_ = mono_time::max();
     double logged_level_ = 1.0;
+    std::optional<drain_rule> drain_;
     bool draining_ = false;
 };
 
--- a/libs/relay/tests/relay_node_test.cpp
+++ b/libs/relay/tests/relay_node_test.cpp
@@ -47,6 +47,14 @@
 struct drained_fixture : two_vms_fixture {
     bool ended = false;
 
+    /// A request takes at most this long, so that it ends within the grace time if it comes early.
+    static constexpr auto timeout = 3500ms;
+
+    void serve(bool idempotent)
+    {
+        publish(config_for("orders", idempotent, config_version{1}, timeout), {{&back, "back"}});
+    }
+
     /// Sends requests until one is rejected. Returns the number served and the rejecting answer.
     std::pair<int, answer> ask_until_refused()
     {
