Write each log line at once, without waiting for its reader

A sidecar whose standard output is a file had written nothing after 3 s of service, and nothing after SIGKILL: glog's lines to standard output wait in a buffer of the C library. The last decisions of a killed process were lost, so an incident could not be followed to its end. Standard error of trefoilholdd was written at once, but blocked on a slow reader.

--- a/apps/trefoilholdd/main.cpp
+++ b/apps/trefoilholdd/main.cpp
@@ -1,4 +1,5 @@
 #include "base/log_event.h"
+#include "base/log_output.h"
 #include "node/node.h"
 
 #include <glog/logging.h>
@@ -10,6 +11,7 @@
 #include <getopt.h>
 #include <malloc.h>
 #include <pthread.h>
+#include <unistd.h>
 
 namespace {
 
@@ -93,8 +95,8 @@
 int main(int argc, char** argv)
 {
     mallopt(M_ARENA_MAX, max_heap_arenas);
-    FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
+    const trefoil::log_output output(STDERR_FILENO);
     std::signal(SIGPIPE, SIG_IGN);
     const auto parsed = parse_command_line(argc, argv);
     if (!parsed.valid || parsed.help) {
