Log how far a request had got when it was cancelled

caller_gone has the stage, and a counter by stage; call_cancelled is written beside the target, with the stage and whether the work was stopped; process_stalled tells of a pause. No decision changes.

--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -302,19 +302,17 @@
            entry_admission_.retry_after(entering_request_of(*call), level_of(*call), random_()));
 }
 
-void call_forwarder::cancel_attempt(pending_call& call)
+request_stage call_forwarder::cancel_attempt(pending_call& call)
 {
     if (!call.target) {
-        return;
+        return request_stage::unsent;
     }
     const auto target = std::exchange(call.target, nullptr);
     placement_.record_ended(*target, false, boot_clock::now());
     if (call.link) {
-        std::exchange(call.link, nullptr)->cancel(call.stream);
-    }
-    else {
-        local_.cancel(call.local_ticket);
+        return std::exchange(call.link, nullptr)->cancel(call.stream);
     }
+    return local_.cancel(call.local_ticket);
 }
 
 void call_forwarder::on_deadline(const call_ptr& call)
@@ -332,8 +330,7 @@
     const auto call = it->second;
     calls_.erase(it);
     call->finished = true;
-    report_.log_decision(*call, "caller_gone", refusal_reason::cancelled, level_of(*call));
-    cancel_attempt(*call);
+    report_.record_departure(*call, cancel_attempt(*call), level_of(*call));
 }
 
 void call_forwarder::refuse(const call_ptr& call, refusal_reason reason,
--- a/libs/relay/src/call_report.cpp
+++ b/libs/relay/src/call_report.cpp
@@ -9,9 +9,24 @@
                                double level)
 {
     const auto now = boot_clock::now();
-    if (!log_.begin(now)) {
-        return;
+    if (log_.begin(now)) {
+        log_.write(line_of(call, event, reason, level, now));
     }
+}
+
+void call_report::record_departure(const pending_call& call, request_stage stage, double level)
+{
+    metrics_.add(std::string("trefoil_callers_gone_total{stage=\"") + to_string(stage) + "\"}");
+    const auto now = boot_clock::now();
+    if (log_.begin(now)) {
+        auto line = line_of(call, "caller_gone", refusal_reason::cancelled, level, now);
+        log_.write(line.add("stage", to_string(stage)));
+    }
+}
+
+log_event call_report::line_of(const pending_call& call, const char* event, refusal_reason reason,
+                               double level, mono_time now)
+{
     log_event line(event);
     line.add("id", call.request.id).add("reason", to_string(reason));
     line.add("after_ms", (now - call.request.arrived) / std::chrono::milliseconds(1));
@@ -29,7 +44,7 @@
     if (!call.tried.empty()) {
         line.add("target", call.tried.back()).add("sends", call.tried.size());
     }
-    log_.write(std::move(line));
+    return line;
 }
 
 void call_report::count(const pending_call& call, outcome result, refusal_reason reason)
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -1,6 +1,7 @@
 #include "local_target.h"
 
 #include "http_text.h"
+#include "upstream_exchange.h"
 
 #include <algorithm>
 #include <cmath>
@@ -353,27 +354,47 @@
     return std::min(level_.value(), levels_.min_child_level(route, now));
 }
 
-void local_target::cancel(std::uint64_t ticket)
+request_stage local_target::cancel(std::uint64_t ticket)
 {
     const auto it = calls_.find(ticket);
     if (it == calls_.end()) {
-        return;
+        return request_stage::unsent;
     }
+    auto& c = it->second;
     if (queue_.remove_waiting(ticket)) {
-        body_bytes_ -= it->second.call.body.size();
+        log_cancelled(c, request_stage::queued, true);
+        body_bytes_ -= c.call.body.size();
         calls_.erase(it);
-        return;
+        return request_stage::queued;
     }
-    it->second.done = nullptr;
-    if (it->second.exchange && !it->second.call.idempotent) {
-        return; // Interrupting it would lose work that must not be repeated.
+    c.done = nullptr;
+    const auto stage = c.exchange ? c.exchange->stage() : request_stage::awaiting_identity;
+    const bool stopped = !c.exchange || c.call.idempotent;
+    log_cancelled(c, stage, stopped);
+    if (!stopped) {
+        return stage; // Interrupting it would lose work that must not be repeated.
     }
-    if (it->second.exchange) {
-        upstream_client::cancel(it->second.exchange);
+    if (c.exchange) {
+        upstream_client::cancel(c.exchange);
         crash_watch_.detector().record_unanswered(ticket, boot_clock::now());
     }
     finish(ticket, false, {});
     advance();
+    return stage;
+}
+
+void local_target::log_cancelled(const running_call& call, request_stage stage, bool stopped)
+{
+    const auto now = boot_clock::now();
+    if (!log_.begin(now)) {
+        return;
+    }
+    log_.write(log_event("call_cancelled")
+                   .add("id", call.call.id)
+                   .add("stage", to_string(stage))
+                   .add("stopped", stopped)
+                   .add("idempotent", call.call.idempotent)
+                   .add("after_ms", (now - call.offered) / std::chrono::milliseconds(1)));
 }
 
 } // namespace trefoil
--- a/libs/relay/src/local_target.h
+++ b/libs/relay/src/local_target.h
@@ -4,6 +4,7 @@
 #include "deadline_queue.h"
 #include "decision_log.h"
 #include "node_message.h"
+#include "request_stage.h"
 #include "target_crash_watch.h"
 #include "upstream_client.h"
 
@@ -57,7 +58,7 @@
 
     /// Cancels a request; its `done` does not run. A request that is not idempotent and already
     /// runs at the target is not interrupted.
-    void cancel(std::uint64_t ticket);
+    request_stage cancel(std::uint64_t ticket);
 
     /// Probes the target if it has requests but sends no answers. To be called periodically.
     void probe_if_silent() { crash_watch_.probe_if_silent(); }
@@ -100,6 +101,8 @@
     bool has_room_for(const call_message& call) const;
     void advance();
     void start(std::uint64_t ticket);
+    /// Writes a log line about a cancelled request; `stopped` is false if its work goes on.
+    void log_cancelled(const running_call& call, request_stage stage, bool stopped);
     void refuse(std::uint64_t ticket);
     bool requeue_for_identity(std::uint64_t ticket);
     void request_identity();
--- a/libs/relay/src/peer_link.cpp
+++ b/libs/relay/src/peer_link.cpp
@@ -110,12 +110,13 @@
     return stream;
 }
 
-void peer_link::cancel(std::uint32_t stream)
+request_stage peer_link::cancel(std::uint32_t stream)
 {
     const bool was_unsent = unsent_.erase(stream) != 0;
     if (waiting_.erase(stream) != 0 && !was_unsent && stream_) {
         stream_->write(encode_message(node_message_kind::cancel, cancel_message{stream}));
     }
+    return was_unsent ? request_stage::unsent : request_stage::at_peer;
 }
 
 void peer_link::request_state()
--- a/libs/relay/src/peer_link.h
+++ b/libs/relay/src/peer_link.h
@@ -3,6 +3,7 @@
 #include "byte_stream.h"
 #include "deadline_queue.h"
 #include "node_message.h"
+#include "request_stage.h"
 #include "state_handlers.h"
 
 #include "dispatch/call_outcome.h"
@@ -48,7 +49,7 @@
     std::uint32_t send(call_message call, peer_answer_handler done);
 
     /// Cancels a request and notifies the peer if the request was already sent.
-    void cancel(std::uint32_t stream);
+    request_stage cancel(std::uint32_t stream);
 
     /// Requests the peer's published state.
     void request_state();
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -43,6 +43,10 @@
 
 constexpr std::chrono::milliseconds drain_check_interval{50};
 
+/// A sweep that is late by more than this is logged: meanwhile the process was paused, or was given
+/// no processor time.
+constexpr std::chrono::milliseconds stall_threshold{250};
+
 constexpr const char* metrics_path = "/metrics";
 
 /// Returns the nodes of the targets without duplicates. A node is named by its address, the only
@@ -281,6 +285,11 @@
     void sweep()
     {
         const auto now = boot_clock::now();
+        if (now - next_sweep > stall_threshold) {
+            log_event("process_stalled")
+                .add("ms", (now - next_sweep) / std::chrono::milliseconds(1))
+                .warning();
+        }
         callers.for_each([now](const auto& session) { session->check_timeouts(now); });
         callers.bound_unread();
         peers.bound_unread();
@@ -289,7 +298,8 @@
         }
         forwarder.links().close_unused(now);
         local.probe_if_silent();
-        deadlines.at(now + sweep_interval, [this] { sweep(); });
+        next_sweep = now + sweep_interval;
+        deadlines.at(next_sweep, [this] { sweep(); });
     }
 
     /// Notifies other nodes that the target accepts no new requests.
@@ -349,6 +359,7 @@
     acceptor ready;
     std::optional<acceptor> metrics_page;
     std::function<void()> drained;
+    mono_time next_sweep = mono_time::max();
     mono_time drain_start;
     mono_time idle_since;
     /// Set once the node has been told to stop.
--- a/libs/relay/src/upstream_exchange.cpp
+++ b/libs/relay/src/upstream_exchange.cpp
@@ -115,6 +115,7 @@
         is_reused_ = true;
         stream_ = std::move(reused);
         stream_->set_handlers(stream_handlers());
+        is_written_ = true;
         stream_->write(request_text(request));
         return;
     }
@@ -130,10 +131,16 @@
                              self->finish(std::move(result));
                              return;
                          }
+                         self->is_written_ = true;
                          self->stream_->write(self->request_text(request));
                      });
 }
 
+request_stage upstream_exchange::stage() const noexcept
+{
+    return is_written_ ? request_stage::running : request_stage::connecting;
+}
+
 void upstream_exchange::on_data(boost::beast::flat_buffer& buffer)
 {
     while (done_ && buffer.size() > 0) {
--- a/libs/relay/src/upstream_exchange.h
+++ b/libs/relay/src/upstream_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "request_stage.h"
 #include "upstream_client.h"
 
 #include <boost/beast/http/parser.hpp>
@@ -22,6 +23,9 @@
     /// Aborts the connection; the result handler does not run.
     void cancel();
 
+    /// Whether the request was written to the target or still waits for a connection.
+    request_stage stage() const noexcept;
+
     /// Key of this exchange in the client's count of buffered answer bytes.
     byte_account::holder number() const noexcept { return number_; }
 
@@ -61,6 +65,7 @@
     byte_account::holder number_;
     std::size_t answer_limit_;
     std::size_t interim_answers_ = 0;
+    bool is_written_ = false;
     bool is_reused_ = false;
     bool is_head_ = false;
     bool is_clean_ = true;
