--- a/libs/relay/tests/relay_fixture.h
+++ b/libs/relay/tests/relay_fixture.h
@@ -34,10 +34,15 @@
     const unsigned short port = ports.first();
     std::vector<std::unique_ptr<vm>> vms;
     /// Memory limit in bytes of the nodes added after this is set.
-    std::size_t memory_bytes = relay_settings().memory_bytes;
+    std::size_t memory_bytes;
     /// Time from SIGTERM until the process is killed, for the nodes added after this is set.
     std::chrono::milliseconds grace = relay_settings().grace;
 
+    explicit relay_fixture(std::size_t memory = relay_settings().memory_bytes)
+        : memory_bytes(memory)
+    {
+    }
+
     ~relay_fixture() { context.stop(); }
 
     /// Adds a VM with a target `id` of the service; `respond` returns the answers of the target.
