Stop cancelled requests of which nothing was sent to the target

Cause: local_target::cancel took a request with an exchange for a running one, also while the exchange waited for its connection. What holds for work that was sent, that it must not be interrupted, was applied to work that was not.

Fix: an exchange knows whether any byte of its request was passed to the kernel. Up to then every request may be stopped; afterwards one that is not idempotent is left alone, as before.

Evidence: departed_callers_while_target_connects_run_nothing wrote all four requests before, in both kinds; now only that of the caller that stays. call_cancelled shows stage=connecting stopped=1.

--- a/libs/relay/src/byte_stream.cpp
+++ b/libs/relay/src/byte_stream.cpp
@@ -62,32 +62,37 @@
         return;
     }
     reading_ = true;
-    socket_.async_read_some(
-        buffer_.prepare(read_size), [self = shared_from_this()](auto error, std::size_t count) {
-            self->reading_ = false;
-            if (!self->open_) {
-                return;
-            }
-            if (error) {
-                self->fail(error);
-                return;
-            }
-            self->buffer_.commit(count);
-            const auto on_data = self->handlers_.data; // The handler may replace itself.
-            try {
-                on_data(self->buffer_);
-            }
-            catch (const std::exception& e) {
-                // Input of one peer must not end the process, only that peer's connection.
-                log_event("connection_failed")
-                    .add("error", typeid(e).name())
-                    .add("detail", e.what())
-                    .error();
-                self->fail(asio::error::invalid_argument);
-                return;
-            }
-            self->read();
-        });
+    socket_.async_read_some(buffer_.prepare(read_size),
+                            [self = shared_from_this()](auto error, std::size_t count) {
+                                self->reading_ = false;
+                                if (!self->open_) {
+                                    return;
+                                }
+                                if (error) {
+                                    self->fail(error);
+                                    return;
+                                }
+                                self->buffer_.commit(count);
+                                self->deliver();
+                                self->read();
+                            });
+}
+
+void byte_stream::deliver()
+{
+    const auto on_data = handlers_.data; // The handler may replace itself.
+    try {
+        on_data(buffer_);
+    }
+    catch (const std::exception& e) {
+        // Input of one peer must not end the process, only that peer's connection.
+        log_event("connection_failed")
+            .add("error", typeid(e).name())
+            .add("detail", e.what())
+            .error();
+        fail(asio::error::invalid_argument);
+        return;
+    }
 }
 
 void byte_stream::write(std::string bytes)
@@ -117,6 +122,7 @@
     pending_.clear();
     boost::system::error_code error;
     written_ = socket_.write_some(asio::buffer(in_write_), error);
+    sent_ += written_;
     if (error && error != asio::error::would_block && error != asio::error::try_again) {
         fail(error);
         return;
@@ -154,6 +160,7 @@
             return;
         }
         self->written_ += count;
+        self->sent_ += count;
         if (self->written_ < self->in_write_.size()) {
             self->write_rest();
             return;
--- a/libs/relay/src/byte_stream.h
+++ b/libs/relay/src/byte_stream.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -65,8 +66,12 @@
     bool is_open() const noexcept { return open_; }
     std::size_t unwritten() const noexcept { return pending_.size() + in_write_.size() - written_; }
 
+    /// Total number of bytes passed to the kernel.
+    std::uint64_t sent() const noexcept { return sent_; }
+
 private:
     void read();
+    void deliver();
     void flush();
     void write_rest();
     void end_write();
@@ -80,6 +85,7 @@
     std::string pending_;
     std::string in_write_;
     std::size_t written_ = 0;
+    std::uint64_t sent_ = 0;
     bool open_ = true;
     bool reading_ = false;
     bool paused_ = false;
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -369,14 +369,19 @@
     }
     c.done = nullptr;
     const auto stage = c.exchange ? c.exchange->stage() : request_stage::awaiting_identity;
-    const bool stopped = !c.exchange || c.call.idempotent;
+    const bool stopped = stage != request_stage::running || c.call.idempotent;
     log_cancelled(c, stage, stopped);
     if (!stopped) {
         return stage; // Interrupting it would lose work that must not be repeated.
     }
     if (c.exchange) {
         upstream_client::cancel(c.exchange);
-        crash_watch_.detector().record_unanswered(ticket, boot_clock::now());
+        if (stage == request_stage::running) {
+            crash_watch_.detector().record_unanswered(ticket, boot_clock::now());
+        }
+        else {
+            crash_watch_.detector().record_not_run(ticket);
+        }
     }
     finish(ticket, false, {});
     advance();
--- a/libs/relay/src/local_target.h
+++ b/libs/relay/src/local_target.h
@@ -56,8 +56,8 @@
     /// its body exceeds the memory limit or if its content is quarantined.
     std::uint64_t offer(call_message call, const std::string& caller_service, answer_handler done);
 
-    /// Cancels a request; its `done` does not run. A request that is not idempotent and already
-    /// runs at the target is not interrupted.
+    /// Cancels a request; its `done` does not run. A request that is not idempotent is not
+    /// interrupted once any of it was sent to the target.
     request_stage cancel(std::uint64_t ticket);
 
     /// Probes the target if it has requests but sends no answers. To be called periodically.
--- a/libs/relay/src/upstream_exchange.cpp
+++ b/libs/relay/src/upstream_exchange.cpp
@@ -115,7 +115,7 @@
         is_reused_ = true;
         stream_ = std::move(reused);
         stream_->set_handlers(stream_handlers());
-        is_written_ = true;
+        sent_before_ = stream_->sent();
         stream_->write(request_text(request));
         return;
     }
@@ -131,14 +131,14 @@
                              self->finish(std::move(result));
                              return;
                          }
-                         self->is_written_ = true;
                          self->stream_->write(self->request_text(request));
                      });
 }
 
 request_stage upstream_exchange::stage() const noexcept
 {
-    return is_written_ ? request_stage::running : request_stage::connecting;
+    const bool is_unsent = stream_ && stream_->sent() == sent_before_;
+    return is_unsent ? request_stage::connecting : request_stage::running;
 }
 
 void upstream_exchange::on_data(boost::beast::flat_buffer& buffer)
--- a/libs/relay/src/upstream_exchange.h
+++ b/libs/relay/src/upstream_exchange.h
@@ -23,7 +23,7 @@
     /// Aborts the connection; the result handler does not run.
     void cancel();
 
-    /// Whether the request was written to the target or still waits for a connection.
+    /// Whether any of the request was sent to the target.
     request_stage stage() const noexcept;
 
     /// Key of this exchange in the client's count of buffered answer bytes.
@@ -65,7 +65,8 @@
     byte_account::holder number_;
     std::size_t answer_limit_;
     std::size_t interim_answers_ = 0;
-    bool is_written_ = false;
+    /// Bytes that the connection had sent before this request.
+    std::uint64_t sent_before_ = 0;
     bool is_reused_ = false;
     bool is_head_ = false;
     bool is_clean_ = true;
