Cancel the requests of connections that the node itself closes

What callers saw: a caller that read no answers was closed to free memory, but its request in progress ran on and stayed in the node's table of requests. The same held for the connection of a peer node.

Cause: close() of both sessions closed the stream, which then calls no handler, and did not cancel what was in progress.

Fix: close() cancels it. peer_session had a second function that did.

Evidence: departed_caller_closed_for_memory_ends_its_work, where the target was still at work half a second after caller_closed.

--- a/libs/relay/src/caller_session.cpp
+++ b/libs/relay/src/caller_session.cpp
@@ -52,14 +52,20 @@
     // The handlers of the stream keep this object alive until the stream ends.
     stream_->start({[self = shared_from_this()](auto& buffer) { self->on_data(buffer); },
                     [self = shared_from_this()](auto) {
-                        if (std::exchange(self->busy_, false)) {
-                            self->handlers_.disconnected(self);
-                        }
+                        self->cancel_current();
                         self->buffer_ = nullptr;
                         self->handlers_.ended(self);
                     }});
 }
 
+void caller_session::cancel_current()
+{
+    if (std::exchange(busy_, false)) {
+        current_request_bytes_ = 0;
+        handlers_.disconnected(shared_from_this());
+    }
+}
+
 void caller_session::on_data(boost::beast::flat_buffer& buffer)
 {
     if (closing_) {
@@ -243,6 +249,7 @@
 void caller_session::close()
 {
     stream_->close();
+    cancel_current();
 }
 
 } // namespace trefoil
--- a/libs/relay/src/caller_session.h
+++ b/libs/relay/src/caller_session.h
@@ -47,6 +47,7 @@
     /// Rejects the request that is being read, which has not run, and closes the connection.
     void refuse_unread(const relay_answer& answer);
 
+    /// Closes the connection now and cancels the request in progress.
     void close();
 
     /// Bytes of answers that this caller has not received yet.
@@ -66,6 +67,7 @@
     bool parse_one(boost::beast::flat_buffer& buffer);
     void refuse(const boost::system::error_code& error);
     void dispatch();
+    void cancel_current();
 
     std::shared_ptr<byte_stream> stream_;
     const header_dialect& names_;
--- a/libs/relay/src/peer_session.cpp
+++ b/libs/relay/src/peer_session.cpp
@@ -36,7 +36,7 @@
     }
     catch (const invalid_node_message& e) {
         log_event("peer_message_invalid").add("detail", e.what()).warning();
-        end();
+        close();
     }
 }
 
@@ -130,15 +130,10 @@
     handlers_.ended(shared_from_this());
 }
 
-void peer_session::end()
-{
-    stream_->close();
-    on_ended();
-}
-
 void peer_session::close()
 {
     stream_->close();
+    on_ended();
 }
 
 } // namespace trefoil
--- a/libs/relay/src/peer_session.h
+++ b/libs/relay/src/peer_session.h
@@ -50,10 +50,8 @@
     /// Requests the peer's published state.
     void request_state();
 
-    void close();
-
     /// Closes the connection and cancels the requests on it.
-    void end();
+    void close();
 
     /// Number of bytes buffered for the peer that are not yet written.
     std::size_t unwritten_bytes() const { return stream_->unwritten(); }
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -353,7 +353,7 @@
     session_set<peer_session> peers{{settings.memory_bytes / partial_requests_divisor,
                                      settings.memory_bytes / buffered_answers_divisor,
                                      "peer_closed"},
-                                    [](auto& session) { session.end(); }};
+                                    [](auto& session) { session.close(); }};
     acceptor outbound;
     acceptor inbound;
     acceptor ready;
