Finish answers to callers that closed only their sending side

What callers saw: an answer in progress was cut (2.8 of 6.3 MB) when its caller shut down its sending side, which HTTP clients may do.

Cause: the end of the input ended the whole connection, bytes that waited to be written included.

Fix: at the end of its input a caller's stream stays open until the queued answers are written. The request in progress is cancelled as before: whether a caller closed one side or both cannot be seen until something is written, and work for callers that have left must end.

--- a/libs/relay/src/byte_stream.cpp
+++ b/libs/relay/src/byte_stream.cpp
@@ -58,7 +58,7 @@
 
 void byte_stream::read()
 {
-    if (reading_ || paused_ || !open_) {
+    if (reading_ || paused_ || !open_ || input_ended_) {
         return;
     }
     reading_ = true;
@@ -69,7 +69,7 @@
                                     return;
                                 }
                                 if (error) {
-                                    self->fail(error);
+                                    self->end_input(error);
                                     return;
                                 }
                                 self->buffer_.commit(count);
@@ -95,6 +95,18 @@
     }
 }
 
+void byte_stream::end_input(boost::system::error_code error)
+{
+    if (error != asio::error::eof || !handlers_.input_ended) {
+        fail(error);
+        return;
+    }
+    if (!std::exchange(input_ended_, true)) {
+        const auto on_end = handlers_.input_ended;
+        on_end();
+    }
+}
+
 void byte_stream::write(std::string bytes)
 {
     if (!open_) {
--- a/libs/relay/src/byte_stream.h
+++ b/libs/relay/src/byte_stream.h
@@ -23,6 +23,9 @@
         /// Called when the connection ended; the error is eof if the peer shut it down in order.
         /// Not called after `close`.
         std::function<void(boost::system::error_code)> closed;
+        /// Called when the peer closed its sending side, if set. The connection stays open, since
+        /// the peer may still read; its owner then calls `close_after_writes`.
+        std::function<void()> input_ended;
     };
 
     /// Time after which the kernel closes the connection (TCP_USER_TIMEOUT) if the peer does not
@@ -72,6 +75,7 @@
 private:
     void read();
     void deliver();
+    void end_input(boost::system::error_code error);
     void flush();
     void write_rest();
     void end_write();
@@ -89,6 +93,7 @@
     bool open_ = true;
     bool reading_ = false;
     bool paused_ = false;
+    bool input_ended_ = false;
     bool writing_ = false;
     bool flush_posted_ = false;
     bool close_when_written_ = false;
--- a/libs/relay/src/caller_session.cpp
+++ b/libs/relay/src/caller_session.cpp
@@ -55,7 +55,8 @@
                         self->cancel_current();
                         self->buffer_ = nullptr;
                         self->handlers_.ended(self);
-                    }});
+                    },
+                    [self = shared_from_this()] { self->end_departed(); }});
 }
 
 void caller_session::cancel_current()
@@ -66,6 +67,21 @@
     }
 }
 
+void caller_session::end_departed()
+{
+    if (!stream_->is_open()) {
+        return;
+    }
+    closing_ = true;
+    if (buffer_ != nullptr) {
+        buffer_->consume(buffer_->size());
+    }
+    parser_.reset();
+    cancel_current();
+    handlers_.buffered_bytes_changed(shared_from_this());
+    stream_->close_after_writes();
+}
+
 void caller_session::on_data(boost::beast::flat_buffer& buffer)
 {
     if (closing_) {
--- a/libs/relay/src/caller_session.h
+++ b/libs/relay/src/caller_session.h
@@ -37,6 +37,10 @@
     /// after the answer if `keep` is false.
     void answer(const relay_answer& answer, bool keep);
 
+    /// Ends the connection of a caller that has left. Its request in progress is cancelled; answers
+    /// to earlier ones are still written, since it may have closed only its sending side.
+    void end_departed();
+
     /// True while a request is being answered.
     bool is_busy() const noexcept { return busy_; }
 
