Look for the close before a request is sent to a target

What callers saw: 30 of 30 requests that must not be repeated reached the target although their callers had closed or reset their connections while the entry node was paused; so did later pipelined requests and second attempts.

Cause: a node acts on events in the order in which it reads them, and the close lies behind the request on the same connection. By the time it was read, the request was on its way, and work that was sent is not taken back. Class: a cancellation that has arrived is applied after the work.

Fix: before each send, first or repeated, the forwarder asks the kernel whether the caller has closed (POLLRDHUP, POLLHUP, POLLERR), which it tells also with unread bytes in front of the close. One system call a send.

--- a/libs/relay/src/byte_stream.cpp
+++ b/libs/relay/src/byte_stream.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <exception>
@@ -249,6 +250,18 @@
     read();
 }
 
+bool byte_stream::peer_has_closed() const
+{
+    if (!open_ || input_ended_) {
+        return true;
+    }
+    pollfd state{const_cast<tcp::socket&>(socket_).native_handle(), POLLIN | POLLRDHUP, 0};
+    if (poll(&state, 1, 0) <= 0) {
+        return false;
+    }
+    return (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 bool byte_stream::has_unexpected_input() const
 {
     char byte = 0;
--- a/libs/relay/src/byte_stream.h
+++ b/libs/relay/src/byte_stream.h
@@ -63,6 +63,10 @@
     /// Pauses or resumes reading, to limit the input that this process buffers for one peer.
     void pause_reading(bool paused);
 
+    /// Returns true if the peer closed or reset the connection, even if there is unread input
+    /// before the end.
+    bool peer_has_closed() const;
+
     /// Returns true if the peer closed the connection or sent bytes that are not consumed.
     bool has_unexpected_input() const;
 
--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -207,6 +207,11 @@
 
 void call_forwarder::send(const call_ptr& call)
 {
+    const auto caller = call->caller.lock();
+    if (caller && caller->has_left()) {
+        caller->end_departed(); // Calls caller_disconnected.
+        return;
+    }
     const auto now = boot_clock::now();
     const auto target =
         placement_.choose(targets_.targets(call->service), call->tried, random_(), now,
--- a/libs/relay/src/caller_session.h
+++ b/libs/relay/src/caller_session.h
@@ -37,6 +37,9 @@
     /// after the answer if `keep` is false.
     void answer(const relay_answer& answer, bool keep);
 
+    /// True if the caller closed the connection, also if that was not read yet.
+    bool has_left() const { return stream_->peer_has_closed(); }
+
     /// Ends the connection of a caller that has left. Its request in progress is cancelled; answers
     /// to earlier ones are still written, since it may have closed only its sending side.
     void end_departed();
