Notice a close while reading is paused

What callers saw: a caller that had more than 64 KB of pipelined requests waiting left, and its running request went on at the target.

Cause: the node stops reading at 64 KB, and the close behind the unread bytes is seen only when they are read.

Fix: while reading is paused, the stream asks the kernel every 100 ms whether the peer has closed. Paused streams are few.

--- a/libs/relay/src/byte_stream.cpp
+++ b/libs/relay/src/byte_stream.cpp
@@ -21,6 +21,9 @@
 /// Buffer space reserved per read, in bytes; most messages are smaller.
 constexpr std::size_t read_size = 4096;
 
+/// Interval between checks of a connection whose reading is paused.
+constexpr std::chrono::milliseconds close_check_interval{100};
+
 } // namespace
 
 byte_stream::byte_stream(tcp::socket socket, std::chrono::milliseconds unacknowledged)
@@ -247,9 +250,32 @@
 void byte_stream::pause_reading(bool paused)
 {
     paused_ = paused;
+    if (!paused) {
+        close_check_.reset();
+    }
+    else if (!close_check_) {
+        close_check_.emplace(socket_.get_executor());
+        watch_for_close();
+    }
     read();
 }
 
+void byte_stream::watch_for_close()
+{
+    close_check_->expires_after(close_check_interval);
+    close_check_->async_wait([weak = weak_from_this()](auto error) {
+        const auto self = weak.lock();
+        if (error || !self || !self->open_ || !self->paused_) {
+            return;
+        }
+        if (self->peer_has_closed()) {
+            self->end_input(asio::error::eof);
+            return;
+        }
+        self->watch_for_close();
+    });
+}
+
 bool byte_stream::peer_has_closed() const
 {
     if (!open_ || input_ended_) {
--- a/libs/relay/src/byte_stream.h
+++ b/libs/relay/src/byte_stream.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace trefoil {
@@ -60,7 +61,8 @@
     /// even if it is still sending. The handler `closed` is then called without an error.
     void close_after_writes();
 
-    /// Pauses or resumes reading, to limit the input that this process buffers for one peer.
+    /// Pauses or resumes reading, to limit the input that this process buffers for one peer. The
+    /// end of the connection is noticed during a pause, too.
     void pause_reading(bool paused);
 
     /// Returns true if the peer closed or reset the connection, even if there is unread input
@@ -80,6 +82,7 @@
     void read();
     void deliver();
     void end_input(boost::system::error_code error);
+    void watch_for_close();
     void flush();
     void write_rest();
     void end_write();
@@ -94,6 +97,8 @@
     std::string in_write_;
     std::size_t written_ = 0;
     std::uint64_t sent_ = 0;
+    /// Set while reading is paused.
+    std::optional<asio::steady_timer> close_check_;
     bool open_ = true;
     bool reading_ = false;
     bool paused_ = false;
