Read cancellations before starting the calls in front of them

What callers saw: the node beside a target started calls whose cancellations, or the end of whose connection, had already arrived, after a pause of its process. A waiting request got a slot in the same turn in which its cancellation was read.

A stream read 4 KB at a time and acted on it, and each message was acted on before the next was looked at.

Fix: a stream reads what has arrived, up to 256 KB, before it passes it on; a session with new calls asks whether its peer has closed; and the queue of the own target starts requests only through input_barrier, after the input that was there has been handled. It waits for more than one turn only while calls or cancellations still come in.

An error of the additional reads is kept: a reset must not look like an orderly end, which completes an answer without a length.

Before, cancelled calls showed stage=running stopped=0 after_ms=0.

--- a/libs/relay/src/byte_stream.cpp
+++ b/libs/relay/src/byte_stream.cpp
@@ -21,6 +21,9 @@
 /// Buffer space reserved per read, in bytes; most messages are smaller.
 constexpr std::size_t read_size = 4096;
 
+/// Limit in bytes for the input that is read before it is passed on.
+constexpr std::size_t max_turn_bytes = std::size_t{256} * 1024;
+
 /// Interval between checks of a connection whose reading is paused.
 constexpr std::chrono::milliseconds close_check_interval{100};
 
@@ -66,20 +69,38 @@
         return;
     }
     reading_ = true;
-    socket_.async_read_some(buffer_.prepare(read_size),
-                            [self = shared_from_this()](auto error, std::size_t count) {
-                                self->reading_ = false;
-                                if (!self->open_) {
-                                    return;
-                                }
-                                if (error) {
-                                    self->end_input(error);
-                                    return;
-                                }
-                                self->buffer_.commit(count);
-                                self->deliver();
-                                self->read();
-                            });
+    socket_.async_read_some(
+        buffer_.prepare(read_size), [self = shared_from_this()](auto error, std::size_t count) {
+            self->reading_ = false;
+            if (!self->open_) {
+                return;
+            }
+            if (error) {
+                self->end_input(error);
+                return;
+            }
+            self->buffer_.commit(count);
+            // A filled buffer suggests that there is more, such as the cancellation of a call.
+            const auto end = count == read_size ? self->read_available() : error;
+            self->deliver();
+            if (end && self->open_) {
+                self->end_input(end);
+                return;
+            }
+            self->read();
+        });
+}
+
+boost::system::error_code byte_stream::read_available()
+{
+    boost::system::error_code error;
+    std::size_t count = read_size;
+    for (auto total = count; count == read_size && total < max_turn_bytes; total += count) {
+        count = socket_.read_some(buffer_.prepare(read_size), error);
+        buffer_.commit(count);
+    }
+    const bool is_empty = error == asio::error::would_block || error == asio::error::try_again;
+    return is_empty ? boost::system::error_code() : error;
 }
 
 void byte_stream::deliver()
@@ -97,6 +118,9 @@
         fail(asio::error::invalid_argument);
         return;
     }
+    if (buffer_.size() == 0 && buffer_.capacity() > 2 * read_size) {
+        buffer_.shrink_to_fit();
+    }
 }
 
 void byte_stream::end_input(boost::system::error_code error)
--- a/libs/relay/src/byte_stream.h
+++ b/libs/relay/src/byte_stream.h
@@ -80,6 +80,8 @@
 
 private:
     void read();
+    /// Reads what has arrived, up to a limit; returns the error that ended the input, if any.
+    boost::system::error_code read_available();
     void deliver();
     void end_input(boost::system::error_code error);
     void watch_for_close();
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -36,7 +36,8 @@
       crashes_(crashes), levels_(levels), queue_(initial_slots), slot_limiter_(initial_slots),
       runs_(names.id_separator), names_(names), context_(context), upstream_(upstream),
       max_body_bytes_(limits.max_total_body_bytes),
-      crash_watch_(context, deadlines, std::move(upstream), crashes)
+      crash_watch_(context, deadlines, std::move(upstream), crashes),
+      advance_(context, [this] { advance(); })
 {
 }
 
@@ -44,7 +45,7 @@
 {
     slot_limiter_.set_slots(std::max(1U, entry.slots));
     crash_watch_.record_present(entry.id, entry.leaving, "published entry shows a restart");
-    advance();
+    advance_.request();
 }
 
 std::uint64_t local_target::offer(call_message call, const std::string& caller_service,
@@ -68,7 +69,7 @@
         return ticket;
     }
     queue_.offer(waiting, now);
-    advance();
+    advance_.request();
     return ticket;
 }
 
@@ -120,7 +121,7 @@
     armed_for_ = *next;
     deadlines_.at(*next, [this] {
         armed_for_ = mono_time::max();
-        advance();
+        advance_.request();
     });
 }
 
@@ -138,7 +139,7 @@
     auto& c = it->second;
     if (crashes_.quarantine_left(c.content)) {
         refuse(ticket); // The content was quarantined while the request waited.
-        deadlines_.at(boot_clock::now(), [this] { advance(); });
+        advance_.request();
         return;
     }
     const auto& expected = c.call.service == identity_source_.service.str()
@@ -264,7 +265,7 @@
     answer.body = std::move(result.answer.body);
     answer.omitted_length = std::move(result.answer.omitted_length);
     finish(ticket, result.outcome == call_outcome::answered, std::move(answer));
-    advance();
+    advance_.request();
 }
 
 void local_target::record_result(std::uint64_t ticket, const running_call& call,
@@ -384,7 +385,7 @@
         }
     }
     finish(ticket, false, {});
-    advance();
+    advance_.request();
     return stage;
 }
 
--- a/libs/relay/src/local_target.h
+++ b/libs/relay/src/local_target.h
@@ -3,6 +3,7 @@
 #include "crash_exchange.h"
 #include "deadline_queue.h"
 #include "decision_log.h"
+#include "input_barrier.h"
 #include "node_message.h"
 #include "request_stage.h"
 #include "target_crash_watch.h"
@@ -140,6 +141,8 @@
     std::size_t max_body_bytes_;
     std::uint64_t last_ticket_ = 0;
     target_crash_watch crash_watch_;
+    /// Starts requests only after the cancellations that have already arrived were handled.
+    input_barrier advance_;
     mono_time armed_for_ = mono_time::max();
     double logged_level_ = 1.0;
     std::optional<drain_rule> drain_;
--- a/libs/relay/src/peer_session.cpp
+++ b/libs/relay/src/peer_session.cpp
@@ -32,6 +32,10 @@
         };
         take_messages(buffer, max_length,
                       [this](const raw_node_message& message) { handle(message); });
+        if (std::exchange(has_new_calls_, false) && stream_->peer_has_closed()) {
+            close(); // Nobody receives the answers.
+            return;
+        }
         handlers_.buffered_bytes_changed(shared_from_this(), buffer.size());
     }
     catch (const invalid_node_message& e) {
@@ -62,6 +66,7 @@
         }
         const auto delay = delay_.observe(call.sent_ms, mono_stamp()).count();
         call.time_left_ms -= std::min(call.time_left_ms, static_cast<std::uint32_t>(delay));
+        has_new_calls_ = true;
         tickets_[stream] = 0;
         const auto ticket = handlers_.call(shared_from_this(), caller_service_, std::move(call));
         const auto it = tickets_.find(stream);
--- a/libs/relay/src/peer_session.h
+++ b/libs/relay/src/peer_session.h
@@ -69,6 +69,8 @@
     std::unordered_map<std::uint32_t, std::uint64_t> tickets_;
     bool leaving_sent_ = false;
     bool hello_received_ = false;
+    /// The input that is being handled has requests.
+    bool has_new_calls_ = false;
 };
 
 } // namespace trefoil
