Start queued requests only after a turn without new ones

A connection whose input fills several reads is read in several turns of the event loop. A single call in one of them was started before the next turn, in which its cancellation may come: input_barrier postponed its action only if further requests came in the same turn.

The first turn is now always waited for.

--- a/libs/relay/src/input_barrier.cpp
+++ b/libs/relay/src/input_barrier.cpp
@@ -31,7 +31,9 @@
 {
     // The event loop appends this behind the events that are ready, and then looks for new ones.
     asio::post(context_, [this, known_requests, turns] {
-        if (requests_ != known_requests && turns < max_turns) {
+        // What follows on a connection that is still being read comes in the next turn.
+        const bool is_first = turns == 0;
+        if (is_first || (requests_ != known_requests && turns < max_turns)) {
             run_after(requests_, turns + 1);
             return;
         }
--- a/libs/relay/src/input_barrier.h
+++ b/libs/relay/src/input_barrier.h
@@ -8,14 +8,14 @@
 namespace trefoil {
 
 /// Runs an action after the event loop has processed the input that was there when it was
-/// requested. Work that starts in the action is thus not started if its cancellation has already
-/// arrived, for example while the process was paused.
+/// requested, and one turn without further requests. Work that starts in the action is thus not
+/// started if its cancellation has already arrived, for example while the process was paused.
 class input_barrier {
 public:
     input_barrier(asio::io_context& context, std::function<void()> action);
 
-    /// Requests a run of the action. It is postponed while further requests come in, which shows
-    /// that input is still being read, but for a limited number of turns of the event loop.
+    /// Requests a run of the action. It is postponed while further requests come in, for a limited
+    /// number of turns of the event loop.
     void request();
 
 private:
