Keep calls at the node while their connection takes no more bytes

What callers saw: none saw it; found while looking for the same cause elsewhere. Calls to a peer that reads slowly, or is paused, were queued on the connection, and their cancellations behind them. When the peer read again it got the calls first, whatever had become of their callers.

Fix: above 16 KB of unwritten bytes calls wait in peer_link::unsent_, like those that wait for the connection to open, and a cancellation removes them. A call that was never written is reported as unreachable if its connection fails or falls silent, so it may be sent elsewhere even if it must not be repeated.

--- a/libs/relay/src/byte_stream.cpp
+++ b/libs/relay/src/byte_stream.cpp
@@ -184,6 +184,9 @@
     else if (close_when_written_) {
         end_in_order();
     }
+    else if (handlers_.written) {
+        handlers_.written();
+    }
 }
 
 void byte_stream::write_rest()
--- a/libs/relay/src/byte_stream.h
+++ b/libs/relay/src/byte_stream.h
@@ -27,6 +27,8 @@
         /// Called when the peer closed its sending side, if set. The connection stays open, since
         /// the peer may still read; its owner then calls `close_after_writes`.
         std::function<void()> input_ended;
+        /// Called when all queued bytes were passed to the kernel, if set.
+        std::function<void()> written;
     };
 
     /// Time after which the kernel closes the connection (TCP_USER_TIMEOUT) if the peer does not
--- a/libs/relay/src/peer_link.cpp
+++ b/libs/relay/src/peer_link.cpp
@@ -31,6 +31,17 @@
 /// published state.
 constexpr std::size_t max_unsent_control = 64U << 10U;
 
+/// Calls wait at this node, where they can still be cancelled, while the connection has more than
+/// this many bytes to write: the peer reads slowly or is paused.
+constexpr std::size_t max_unwritten = 16U << 10U;
+
+answer_message failure(call_outcome outcome)
+{
+    answer_message message;
+    message.outcome = static_cast<std::uint8_t>(outcome);
+    return message;
+}
+
 } // namespace
 
 peer_link::peer_link(asio::io_context& context, deadline_queue& deadlines, tcp::endpoint peer,
@@ -58,6 +69,12 @@
                           if (self && self->stream_ == stream.lock()) {
                               self->on_lost();
                           }
+                      },
+                      {},
+                      [weak] {
+                          if (const auto self = weak.lock()) {
+                              self->write_unsent();
+                          }
                       }},
                      [weak, stream](auto error) {
                          const auto self = weak.lock();
@@ -79,11 +96,23 @@
     hello_.sent_ms = mono_stamp();
     stream_->write(encode_message(node_message_kind::hello, hello_));
     stream_->write(std::exchange(unsent_control_, {}));
-    for (auto& [stream, call] : std::exchange(unsent_, {})) {
-        write(call);
+    write_unsent();
+}
+
+void peer_link::write_unsent()
+{
+    while (connected_ && !unsent_.empty() && stream_->unwritten() <= max_unwritten) {
+        write(unsent_.begin()->second);
+        unsent_.erase(unsent_.begin());
     }
 }
 
+call_outcome peer_link::outcome_of_failed(std::uint32_t stream) const
+{
+    return connected_ && !unsent_.contains(stream) ? call_outcome::no_response
+                                                   : call_outcome::unreachable;
+}
+
 void peer_link::write(call_message& call)
 {
     const auto now = mono_stamp();
@@ -105,7 +134,8 @@
     waiting_.emplace(stream, waiting_call{std::move(done), call.idempotent});
     call.sent_ms = mono_stamp();
     // A request that waits for the connection can be cancelled without notifying the peer.
-    connected_ ? write(call) : void(unsent_.emplace(stream, std::move(call)));
+    unsent_.emplace(stream, std::move(call));
+    write_unsent();
     schedule_check();
     return stream;
 }
@@ -205,6 +235,10 @@
 
 void peer_link::on_lost()
 {
+    std::vector<std::pair<peer_answer_handler, call_outcome>> failed;
+    for (auto& [stream, call] : std::exchange(waiting_, {})) {
+        failed.emplace_back(std::move(call.done), outcome_of_failed(stream));
+    }
     const bool was_connected = std::exchange(connected_, false);
     if (stream_) {
         // Abort, so that data in flight is not delivered later.
@@ -216,45 +250,44 @@
     if (closed_) {
         return;
     }
-    if (!waiting_.empty()) {
+    if (!failed.empty()) {
         log_event("peer_lost")
             .add("peer", peer_)
             .add("connected", was_connected)
-            .add("in_flight", waiting_.size())
+            .add("in_flight", failed.size())
             .warning();
     }
-    answer_message failure;
-    failure.outcome = static_cast<std::uint8_t>(was_connected ? call_outcome::no_response
-                                                              : call_outcome::unreachable);
-    for (auto& [stream, call] : std::exchange(waiting_, {})) {
-        call.done(failure);
+    for (const auto& [done, outcome] : failed) {
+        done(failure(outcome));
     }
 }
 
 void peer_link::on_unresponsive()
 {
-    std::vector<peer_answer_handler> unanswered;
+    std::vector<std::pair<peer_answer_handler, call_outcome>> failed;
     for (auto it = waiting_.begin(); it != waiting_.end();) {
-        if (!it->second.idempotent) {
-            ++it;
-            continue;
+        const auto outcome = outcome_of_failed(it->first);
+        if (outcome == call_outcome::no_response) {
+            if (!it->second.idempotent) {
+                ++it;
+                continue;
+            }
+            // Lets the peer stop the work if it resumes.
+            stream_->write(encode_message(node_message_kind::cancel, cancel_message{it->first}));
         }
-        // Lets the peer stop the work if it resumes.
-        stream_->write(encode_message(node_message_kind::cancel, cancel_message{it->first}));
-        unanswered.push_back(std::move(it->second.done));
+        failed.emplace_back(std::move(it->second.done), outcome);
         it = waiting_.erase(it);
     }
+    unsent_.clear();
     log_event("peer_silent")
         .add("peer", peer_)
-        .add("lost", unanswered.size())
+        .add("lost", failed.size())
         .add("awaited", waiting_.size())
         .warning();
     awaiting_only_ = true;
     handlers_.unresponsive();
-    answer_message answer;
-    answer.outcome = static_cast<std::uint8_t>(call_outcome::no_response);
-    for (const auto& done : unanswered) {
-        done(answer);
+    for (const auto& [done, outcome] : failed) {
+        done(failure(outcome));
     }
 }
 
--- a/libs/relay/src/peer_link.h
+++ b/libs/relay/src/peer_link.h
@@ -23,8 +23,8 @@
 /// One outbound connection to the node on another VM, which carries all requests to its target.
 /// Reconnects on demand. The connection counts as unresponsive if nothing arrives for a while
 /// although an answer or a pong is due. Idempotent requests on it are then reported as no_response,
-/// so that they can be sent elsewhere. Other requests may still be running on a machine that is
-/// only paused; they are awaited until their deadline or the end of the connection.
+/// so that they can be sent elsewhere. Other requests that were written may still be running on a
+/// machine that is only paused; they are awaited until their deadline or the end of the connection.
 class peer_link : public std::enable_shared_from_this<peer_link> {
 public:
     struct handlers {
@@ -76,6 +76,10 @@
     void open();
     void on_connected();
     void write(call_message& call);
+    /// Writes requests that wait for the connection while it takes them.
+    void write_unsent();
+    /// Outcome of a request whose connection failed.
+    call_outcome outcome_of_failed(std::uint32_t stream) const;
     void on_data(boost::beast::flat_buffer& buffer);
     void handle(const struct raw_node_message& message);
     void on_lost();
@@ -94,7 +98,7 @@
         bool idempotent = false;
     };
     std::unordered_map<std::uint32_t, waiting_call> waiting_;
-    /// Requests waiting for the connection to open, in order.
+    /// Requests waiting until the connection is open and takes them, in order.
     std::map<std::uint32_t, call_message> unsent_;
     /// Encoded other messages waiting for the connection to open.
     std::string unsent_control_;
--- a/libs/relay/tests/departed_callers_fixture.h
+++ b/libs/relay/tests/departed_callers_fixture.h
@@ -3,6 +3,7 @@
 #include "node_codec.h"
 #include "relay_fixture.h"
 
+#include "base/time.h"
 #include "dispatch/call_outcome.h"
 
 #include <array>
@@ -227,6 +228,25 @@
             return *call;
         }
 
+        /// Number of calls that arrive until the time has passed.
+        int count_calls(std::chrono::milliseconds time)
+        {
+            int calls = 0;
+            for (const auto end = boot_clock::now() + time; boot_clock::now() < end;) {
+                fixture_.run_for(std::chrono::milliseconds(1));
+                boost::system::error_code error;
+                while (!error) {
+                    buffer_.commit(socket_.read_some(buffer_.prepare(64 * 1024), error));
+                }
+                take_messages(
+                    buffer_, [] { return max_message_size; },
+                    [&](const raw_node_message& message) {
+                        calls += message.kind == node_message_kind::call ? 1 : 0;
+                    });
+            }
+            return calls;
+        }
+
         void reject(const call_message& call)
         {
             answer_message answer;
--- a/libs/relay/tests/departed_callers_test.cpp
+++ b/libs/relay/tests/departed_callers_test.cpp
@@ -184,6 +184,32 @@
     CHECK(back.target->requests().size() == 1);
 }
 
+// Guards against calls that wait in front of their cancellations for a peer that reads nothing, and
+// are sent once it reads again.
+TEST_CASE_METHOD(departed_callers_fixture,
+                 "departed_callers_behind_a_blocked_connection_are_not_sent")
+{
+    static constexpr int calls = 128;
+    static constexpr std::size_t body = std::size_t{256} << 10U;
+    // What the kernel may hold for one connection, which cannot be taken back.
+    static constexpr int max_calls_in_kernel = (12U << 20U) / body;
+    manual_node blocked(*this);
+    front.node->set_config(config_for("orders", GENERATE(true, false)));
+    front.node->put_target(blocked.entry());
+    std::vector<tcp::socket> callers;
+    for (int i = 0; i < calls; ++i) {
+        callers.push_back(connect(front.settings.outbound));
+        write_all(callers.back(), post_text("id-" + std::to_string(i), body));
+    }
+    run_for(100ms);
+    for (auto& caller : callers) {
+        leave(caller, departure::close);
+    }
+    run_for(100ms);
+    blocked.accept();
+    CHECK(blocked.count_calls(settle_time) <= max_calls_in_kernel);
+}
+
 // Guards against a cancellation that the node beside the target reads only after it has sent the
 // request to the target: both arrived while the node was paused.
 TEST_CASE_METHOD(departed_callers_fixture,
