--- a/libs/relay/tests/relay_fixture.h
+++ b/libs/relay/tests/relay_fixture.h
@@ -48,6 +48,14 @@
     /// Adds a VM with a target `id` of the service; `respond` returns the answers of the target.
     vm& add_vm(const std::string& id, const std::string& service,
                std::function<stand_in_target::reply(const stand_in_target::request&)> respond)
+    {
+        return add_vm(id, service, std::move(respond), context);
+    }
+
+    /// Adds a VM whose node runs on a context of its own, so that it can be paused.
+    vm& add_vm(const std::string& id, const std::string& service,
+               std::function<stand_in_target::reply(const stand_in_target::request&)> respond,
+               asio::io_context& node_context)
     {
         auto v = std::make_unique<vm>();
         const auto address = asio::ip::make_address_v4("127.0.0." + std::to_string(2 + vms.size()));
@@ -64,7 +72,7 @@
         v->settings.memory_bytes = memory_bytes;
         v->settings.grace = grace;
         v->target = std::make_unique<stand_in_target>(context, at(3), std::move(respond));
-        v->node = std::make_unique<relay_node>(context, v->settings);
+        v->node = std::make_unique<relay_node>(node_context, v->settings);
         auto& received = v->received;
         v->node->set_state_exchange(
             {[] {
