--- a/libs/relay/tests/departed_callers_fixture.h
+++ b/libs/relay/tests/departed_callers_fixture.h
@@ -236,7 +236,8 @@
                 fixture_.run_for(std::chrono::milliseconds(1));
                 boost::system::error_code error;
                 while (!error) {
-                    buffer_.commit(socket_.read_some(buffer_.prepare(64 * 1024), error));
+                    buffer_.commit(
+                        socket_.read_some(buffer_.prepare(std::size_t{64} * 1024), error));
                 }
                 take_messages(
                     buffer_, [] { return max_message_size; },
--- a/libs/relay/tests/departed_callers_test.cpp
+++ b/libs/relay/tests/departed_callers_test.cpp
@@ -26,6 +26,7 @@
     const auto& entry = own_target ? back : front;
     serve(idempotent);
     std::vector<tcp::socket> callers;
+    callers.reserve(caller_count);
     for (int i = 0; i < caller_count; ++i) {
         callers.push_back(connect(entry.settings.outbound));
     }
@@ -49,7 +50,7 @@
     std::string pipelined;
     // Fits into the receive buffer, so that the close arrives during the pause.
     for (int i = 0; i < 3; ++i) {
-        pipelined += post_text("id-" + std::to_string(i), 16 * 1024);
+        pipelined += post_text("id-" + std::to_string(i), std::size_t{16} * 1024);
     }
     asio::write(caller, asio::buffer(pipelined));
     leave(caller, departure::close);
@@ -66,7 +67,7 @@
     auto caller = connect(front.settings.outbound);
     asio::write(caller, asio::buffer(request_text("id-first")));
     run_until([this] { return back.target->requests().size() == 1; });
-    asio::write(caller, asio::buffer(post_text("id-second", 256 * 1024)));
+    asio::write(caller, asio::buffer(post_text("id-second", std::size_t{256} * 1024)));
     run_for(100ms);
     leave(caller, departure::close);
     run_for(rule_time);
@@ -256,7 +257,8 @@
     respond = [](const stand_in_target::request& r) {
         return r["trefoil-request-id"] == "id-slow"
                    ? reply{"", end::silent}
-                   : reply{stand_in_target::answer(r, std::string(512 * 1024, 'x')), end::keep};
+                   : reply{stand_in_target::answer(r, std::string(std::size_t{512} * 1024, 'x')),
+                           end::keep};
     };
     serve(true);
     auto caller = slow_reader(front.settings.outbound);
