Show that a request waiting for an identity ends with its caller

departed_caller_waiting_for_an_identity_runs_nothing failed on (the request was written on a new connection) and holds since requests of which nothing was sent are stopped. No further change was needed.

--- a/libs/base/src/log_output.cpp
+++ b/libs/base/src/log_output.cpp
@@ -46,12 +46,6 @@
         writer_.write(ToString(severity, base_filename, line, time, message, message_len) + '\n');
     }
 
-    std::uint64_t dropped()
-    {
-        const std::lock_guard lock(mutex_);
-        return writer_.dropped();
-    }
-
 private:
     std::mutex mutex_;
     line_writer writer_;
@@ -61,9 +55,4 @@
 
 log_output::~log_output() = default;
 
-std::uint64_t log_output::dropped() const
-{
-    return sink_->dropped();
-}
-
 } // namespace trefoil
--- a/libs/base/tests/line_writer_test.cpp
+++ b/libs/base/tests/line_writer_test.cpp
@@ -4,9 +4,8 @@
 
 #include <array>
 #include <chrono>
-#include <string>
-
 #include <csignal>
+#include <string>
 
 #include <fcntl.h>
 #include <unistd.h>
--- a/libs/relay/tests/departed_callers_test.cpp
+++ b/libs/relay/tests/departed_callers_test.cpp
@@ -164,6 +164,32 @@
     CHECK(target.unread(served).empty());
 }
 
+// Guards against a misdirected request that is sent again, under the target's new id, in the same
+// turn of the event loop in which the node learns that its caller has left.
+TEST_CASE_METHOD(departed_callers_fixture, "departed_caller_waiting_for_an_identity_runs_nothing")
+{
+    auto config = config_for("orders", false);
+    config.status_paths[service_name("orders")] = "/status";
+    publish(config, {{&back, "back"}});
+    manual_target target(*this);
+    auto caller = connect(back.settings.outbound);
+    asio::write(caller, asio::buffer(request_text("id-1")));
+    auto misdirected = target.accept();
+    REQUIRE(target.read_request(misdirected).find("id-1") != std::string::npos);
+    asio::write(misdirected, asio::buffer(std::string("HTTP/1.1 421 Misdirected\r\n"
+                                                      "trefoil-request-id: id-1\r\n"
+                                                      "Content-Length: 0\r\n\r\n")));
+    auto status = target.accept();
+    REQUIRE(target.read_request(status).find("/status") != std::string::npos);
+    // From here on the node is paused.
+    asio::write(status, asio::buffer(std::string("HTTP/1.1 200 OK\r\ntrefoil-target-id: new\r\n"
+                                                 "Content-Length: 0\r\n\r\n")));
+    leave(caller, departure::close);
+    run_for(settle_time);
+    CHECK(target.input_of_next_connection().empty());
+    CHECK(target.unread(misdirected).empty());
+}
+
 // Guards against a second attempt for a caller that left before the node learned that the first
 // attempt failed.
 TEST_CASE_METHOD(departed_callers_fixture, "departed_caller_is_not_sent_to_a_second_target")
