--- a/libs/relay/src/byte_stream.h
+++ b/libs/relay/src/byte_stream.h
@@ -84,8 +84,11 @@
     void read();
     /// Reads what has arrived, up to a limit; returns the error that ended the input, if any.
     boost::system::error_code read_available();
+    /// Passes the buffered input on; an exception of the handler ends the connection.
     void deliver();
+    /// Handles the end of the input, which leaves the connection open if `input_ended` is set.
     void end_input(boost::system::error_code error);
+    /// Looks for the end of the connection from time to time while reading is paused.
     void watch_for_close();
     void flush();
     void write_rest();
--- a/libs/relay/src/call_forwarder.h
+++ b/libs/relay/src/call_forwarder.h
@@ -73,6 +73,7 @@
     void record_answer(pending_call& call, const answer_message& answer, call_outcome outcome);
     void finish_unanswered(const call_ptr& call, call_outcome last);
     void on_deadline(const call_ptr& call);
+    /// Cancels the current attempt, if any. Returns how far it had got.
     request_stage cancel_attempt(pending_call& call);
     void refuse(const call_ptr& call, refusal_reason reason, std::chrono::milliseconds retry_after);
     void fail(const call_ptr& call, unsigned status, refusal_reason reason);
--- a/libs/relay/src/caller_session.h
+++ b/libs/relay/src/caller_session.h
@@ -74,6 +74,7 @@
     bool parse_one(boost::beast::flat_buffer& buffer);
     void refuse(const boost::system::error_code& error);
     void dispatch();
+    /// Cancels the request in progress, if there is one.
     void cancel_current();
 
     std::shared_ptr<byte_stream> stream_;
--- a/libs/relay/src/local_target.h
+++ b/libs/relay/src/local_target.h
@@ -58,7 +58,7 @@
     std::uint64_t offer(call_message call, const std::string& caller_service, answer_handler done);
 
     /// Cancels a request; its `done` does not run. A request that is not idempotent is not
-    /// interrupted once any of it was sent to the target.
+    /// interrupted once any of it was sent to the target. Returns how far the request had got.
     request_stage cancel(std::uint64_t ticket);
 
     /// Probes the target if it has requests but sends no answers. To be called periodically.
--- a/libs/relay/src/peer_link.h
+++ b/libs/relay/src/peer_link.h
@@ -48,7 +48,8 @@
     /// with which to cancel it.
     std::uint32_t send(call_message call, peer_answer_handler done);
 
-    /// Cancels a request and notifies the peer if the request was already sent.
+    /// Cancels a request and notifies the peer if the request was already sent. Returns how far
+    /// the request had got.
     request_stage cancel(std::uint32_t stream);
 
     /// Requests the peer's published state.
