Start no read while input is being handled

Cause: a request that is answered at once makes the caller's session read on, inside the handler of its input.

Fix: a read counts as in progress until its input has been handled, so none can start meanwhile. The next one starts afterwards, as before.

--- a/libs/relay/src/byte_stream.cpp
+++ b/libs/relay/src/byte_stream.cpp
@@ -71,7 +71,6 @@
     reading_ = true;
     socket_.async_read_some(
         buffer_.prepare(read_size), [self = shared_from_this()](auto error, std::size_t count) {
-            self->reading_ = false;
             if (!self->open_) {
                 return;
             }
@@ -83,6 +82,9 @@
             // A filled buffer suggests that there is more, such as the cancellation of a call.
             const auto end = count == read_size ? self->read_available() : error;
             self->deliver();
+            // Not before: a read that a handler starts would be into memory that the buffer gives
+            // up.
+            self->reading_ = false;
             if (end && self->open_) {
                 self->end_input(end);
                 return;
--- a/libs/relay/tests/departed_callers_test.cpp
+++ b/libs/relay/tests/departed_callers_test.cpp
@@ -320,3 +320,22 @@
     run_for(100ms);
     CHECK(read_answer(caller).body().size() == size);
 }
+
+// Guards against a buffer that is given up while a read into it is in progress: a large request
+// that is answered at once, then another one on the same connection.
+TEST_CASE_METHOD(departed_callers_fixture,
+                 "kept_connection_after_a_large_refused_request_is_read_on")
+{
+    serve(false);
+    auto caller = connect(front.settings.outbound);
+    caller.non_blocking(true);
+    std::string answers;
+    for (int i = 0; i < 8; ++i) {
+        const auto id = "id-" + std::to_string(i);
+        write_all(caller, request_text(id, "Content-Length: 20000\r\n", "POST /unknown HTTP/1.1") +
+                              std::string(20000, 'b'));
+        run_for(50ms);
+        answers += manual_target::unread(caller);
+        CHECK(answers.find(id) != std::string::npos);
+    }
+}
