--- a/review/stand_ins/stand_ins.cpp
+++ b/review/stand_ins/stand_ins.cpp
@@ -101,6 +101,13 @@
     return out;
 }
 
+std::int64_t unix_ms()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 std::string answer_text(const std::string& status, const std::string& headers,
                         const std::string& body)
 {
@@ -422,10 +429,7 @@
 }
 
 target::target(options o, work_time work, fault f)
-    : options_(std::move(o)), work_(std::move(work)), fault_(std::move(f)),
-      born_(std::chrono::duration_cast<std::chrono::milliseconds>(
-                std::chrono::system_clock::now().time_since_epoch())
-                .count()),
+    : options_(std::move(o)), work_(std::move(work)), fault_(std::move(f)), born_(unix_ms()),
       server_(std::make_unique<server>(options_.address, options_.port,
                                        [this](connection& c) { serve(c); }))
 {
@@ -574,22 +578,7 @@
         cannot_run("no temporary folder");
     }
     folder_ = folder;
-    write_settings();
-}
-
-void sidecar::write_settings() const
-{
-    // Replaced at once, so that a reader never sees half of the file.
-    const auto draft = folder_ + "/boot.toml.new";
-    std::ofstream(draft) << settings();
-    std::rename(draft.c_str(), (folder_ + "/boot.toml").c_str());
-}
-
-void sidecar::set_grace(unsigned seconds)
-{
-    options_.grace_s = seconds;
-    write_settings();
-    record("platform: grace_s of " + options_.name + " is now " + std::to_string(seconds));
+    std::ofstream(folder_ + "/boot.toml") << settings();
 }
 
 sidecar::~sidecar()
@@ -628,8 +617,7 @@
         << "\"config\",\"cost\",\"retry\",\"recover\",\"pressure\",\"platform\"]\n"
         << "[terms.fault_tolerance]\nmachines = 2\nzones = 0\nregions = 0\n[terms.bounds]\n"
         << "seed_lag_s = 3\naddr_reuse_s = 2\ncontact_s = 3\nack_s = 4\ncatch_up_s = 4\n"
-        << "drain_s = 2\ngrace_s = " << options_.grace_s
-        << "\nloss_slack_s = 0.2\nconfig_apply_s = 2\n"
+        << "drain_s = 2\ngrace_s = 6\nloss_slack_s = 0.2\nconfig_apply_s = 2\n"
         << "rollback_slack_s = 0.25\nouter_s = 5\nretry_budget_ratio = 0.2\n"
         << "budget_window_s = 10\nbudget_slack = 50\nrecover_s = 15\n";
     return out.str();
--- a/review/stand_ins/stand_ins.h
+++ b/review/stand_ins/stand_ins.h
@@ -230,7 +230,6 @@
         std::string service;
         unsigned node = 0;
         unsigned memory_mb = 260;
-        unsigned grace_s = 6;
     };
 
     sidecar(const network& n, options o);
@@ -240,8 +239,6 @@
 
     void start();
     void signal(int number);
-    /// Changes `grace_s` in the settings file.
-    void set_grace(unsigned seconds);
     /// True once a readiness check was answered with 200.
     bool wait_ready(std::chrono::milliseconds limit) const;
     bool is_running();
@@ -254,7 +251,6 @@
 
 private:
     std::string settings() const;
-    void write_settings() const;
     void watch_memory();
     void reap();
 
