--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -53,7 +53,7 @@
         "op/config",
         config_text(
             4,
-            {{"r-book", "book.example", "/book/", "non_idempotent", "bastidores", 1.2, 3.0, 2},
+            {{"r-book", "book.example", "/book/", "non_idempotent", "bastidores", 5.0, 3.0, 2},
              {"r-order", "order.example", "/order/", "non_idempotent", "pedidos", 1.2, 0.25, 0}},
             {"bastidores", "pedidos"}));
     platform_store.put(machines.key(), machines.entry("ready", 1));
