review: an interrupted script ends the processes that it started

The scripts' processes are killed on SIGINT, SIGTERM, SIGHUP and after 115 s, and by the kernel if the script itself is killed. A request counts as late in case 4 by when it reached the target, not by when it began to run there.

--- a/review/stand_ins/stand_ins.cpp
+++ b/review/stand_ins/stand_ins.cpp
@@ -17,6 +17,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -29,6 +30,39 @@
 
 const steady::time_point started = steady::now();
 
+/// What an interrupted case has to end and to remove. Read by a signal handler.
+struct started_process {
+    std::atomic<pid_t> pid{0};
+    std::array<char, 64> settings{};
+    std::array<char, 64> log{};
+    std::array<char, 64> folder{};
+};
+std::array<started_process, 8> started_processes;
+std::atomic<std::size_t> started_count{0};
+
+/// A case may run for 120 s.
+constexpr unsigned time_limit_s = 115;
+
+/// Ends the started processes and removes their files. Safe in a signal handler.
+void end_processes()
+{
+    for (std::size_t i = 0; i < started_count; ++i) {
+        auto& process = started_processes.at(i);
+        if (const pid_t pid = process.pid; pid > 0) {
+            kill(pid, SIGKILL);
+        }
+        unlink(process.settings.data());
+        unlink(process.log.data());
+        rmdir(process.folder.data());
+    }
+}
+
+extern "C" void on_interrupt(int /*number*/)
+{
+    end_processes();
+    _exit(2);
+}
+
 std::mutex record_mutex;
 std::ofstream record_file;
 
@@ -125,6 +159,10 @@
 
 void open_record(const std::string& folder)
 {
+    for (const int number : {SIGINT, SIGTERM, SIGHUP, SIGALRM}) {
+        std::signal(number, on_interrupt);
+    }
+    alarm(time_limit_s);
     record_file.open(folder + "/record.txt", std::ios::trunc);
     record(std::string("trouble ") + (is_trouble_on() ? "on" : "off"));
 }
@@ -145,7 +183,8 @@
 void cannot_run(const std::string& reason)
 {
     record("the case cannot run: " + reason);
-    std::exit(2);
+    end_processes();
+    std::_Exit(2);
 }
 
 std::string new_id()
@@ -483,6 +522,7 @@
                                   common + "X-Instance-Id: " + options_.id + "\r\n", ""));
     }
     const auto arrived = steady::now();
+    const auto arrived_s = now_s();
     const std::chrono::milliseconds left(std::stoul("0" + request.header("X-Deadline-Ms")));
     {
         std::unique_lock lock(mutex_);
@@ -496,7 +536,7 @@
         freed_.wait(lock, [this] { return running_ < options_.slots; });
         --waiting_;
         ++running_;
-        runs_.push_back({id, request.path(), now_s()});
+        runs_.push_back({id, request.path(), arrived_s});
     }
     record("target " + options_.id + ": request " + id + " runs " + request.method() + " " +
            request.path() + ", body " + std::to_string(request.body.size()) + " bytes");
@@ -578,6 +618,13 @@
         cannot_run("no temporary folder");
     }
     folder_ = folder;
+    process_ = started_count;
+    auto& process = started_processes.at(process_);
+    std::snprintf(process.folder.data(), process.folder.size(), "%s", folder_.c_str());
+    std::snprintf(process.settings.data(), process.settings.size(), "%s/boot.toml",
+                  folder_.c_str());
+    std::snprintf(process.log.data(), process.log.size(), "%s/log", folder_.c_str());
+    ++started_count;
     std::ofstream(folder_ + "/boot.toml") << settings();
 }
 
@@ -630,8 +677,14 @@
     if (watcher_.joinable()) {
         watcher_.join();
     }
+    const pid_t own = getpid();
     pid_ = fork();
     if (pid_ == 0) {
+        // Ends the process also if the case is killed.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (getppid() != own) {
+            _exit(127);
+        }
         const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2(output, STDOUT_FILENO);
         dup2(output, STDERR_FILENO);
@@ -645,6 +698,7 @@
         _exit(127);
     }
     ended_ = false;
+    started_processes.at(process_).pid = pid_;
     record("platform: " + options_.name + " started, service " + options_.service + ", memory " +
            std::to_string(options_.memory_mb) + " MB");
     watcher_ = std::thread([this] { watch_memory(); });
@@ -679,6 +733,7 @@
                    (WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
                                         : "status " + std::to_string(WEXITSTATUS(status))) +
                    ", peak " + std::to_string(peak_ >> 20U) + " MB");
+            started_processes.at(process_).pid = 0;
             ended_ = true;
             return;
         }
--- a/review/stand_ins/stand_ins.h
+++ b/review/stand_ins/stand_ins.h
@@ -135,6 +135,7 @@
 struct run {
     std::string id;
     std::string path;
+    /// When it reached the target.
     double at = 0.0;
 };
 
@@ -258,6 +259,7 @@
     options options_;
     std::string address_;
     std::string folder_;
+    std::size_t process_ = 0;
     pid_t pid_ = 0;
     std::atomic<bool> ended_ = true;
     std::atomic<bool> stopping_ = false;
