Limit chunk headers and trailers in answers of targets

Cause: the parser takes a chunk header or a trailer section only once it is complete, without a limit, so the bytes stay in the input buffer of the connection. Only parsed bytes were bounded.

Ruled out: the head, which the parser limits (108 checks with 16 callers pass before the change), and the limit of bodies, which holds for proper chunks.

Fix: what is left in the buffer after parsing may be 8 KiB, the limit of a head. Beyond it the exchange fails at once: 502, and one log line with the id and the reason. The parser consumes bodies as they arrive, so what is left is always part of a head, a chunk header or a trailer.

--- a/libs/relay/src/upstream_exchange.cpp
+++ b/libs/relay/src/upstream_exchange.cpp
@@ -1,6 +1,7 @@
 #include "upstream_exchange.h"
 
 #include "http_text.h"
+#include "parse_input.h"
 
 #include "base/log_event.h"
 
@@ -20,6 +21,9 @@
 /// has no reason to repeat them often.
 constexpr std::size_t max_interim_answers = 16;
 
+/// Max bytes of the head of an answer, of a chunk header and of the trailer section.
+constexpr std::uint32_t max_framing_bytes = 8192;
+
 /// Extra wait after the deadline, since the target itself answers requests when they expire.
 constexpr std::chrono::milliseconds late_answer_allowance{150};
 
@@ -68,6 +72,7 @@
 {
     parser_.emplace();
     parser_->eager(true);
+    parser_->header_limit(max_framing_bytes);
     parser_->body_limit(answer_limit_);
     if (is_head_) {
         parser_->skip(true);
@@ -144,18 +149,14 @@
 void upstream_exchange::on_data(boost::beast::flat_buffer& buffer)
 {
     while (done_ && buffer.size() > 0) {
-        boost::system::error_code error;
-        buffer.consume(parser_->put(buffer.data(), error));
+        const auto error = parse_input(*parser_, buffer, max_framing_bytes);
         if (error && error != http::error::need_more) {
-            finish_invalid(error.message());
+            finish_invalid(parse_error_text(error));
             return;
         }
         if (!parser_->is_done()) {
             client_.record_buffered_bytes(*this, parser_->get().body().size());
-            if (error) {
-                return;
-            }
-            continue;
+            return;
         }
         on_message(buffer);
     }
--- a/libs/relay/tests/stand_in_target.h
+++ b/libs/relay/tests/stand_in_target.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "endless_bytes.h"
+
 #include "call_io/asio.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -28,6 +30,8 @@
     struct reply {
         std::string bytes;
         enum class end : std::uint8_t { keep, close, reset, silent } then = end::keep;
+        /// Sent after `bytes` again and again until the peer closes, unless empty.
+        std::string endless{};
     };
 
     stand_in_target(asio::io_context& context, const tcp::endpoint& local,
@@ -108,6 +112,11 @@
             const auto r = respond_(requests_.back());
             co_await asio::async_write(socket, asio::buffer(r.bytes),
                                        asio::redirect_error(asio::use_awaitable, error));
+            if (!r.endless.empty()) {
+                co_await write_endlessly(socket, r.endless);
+                ++closed_;
+                co_return;
+            }
             if (r.then == reply::end::close) {
                 socket.shutdown(tcp::socket::shutdown_both, error);
                 co_return;
