Count the memory of buffered answers, not their length

What callers saw: nothing yet; found while looking at bodies without end from many answers at once. 128 callers exceeded 160 MB, the memory of the smallest machines, though each answer stayed within its limit.

Cause: the total of all answers counted the length of each body, while a growing string occupies up to twice that. Besides, a connection kept an input buffer of up to 512 KiB while a few bytes of the next chunk header were in it, which nothing counted.

Fix: the capacity of the body is counted, and a large input buffer is given up when less than one read is left in it.

--- a/libs/relay/src/byte_stream.cpp
+++ b/libs/relay/src/byte_stream.cpp
@@ -120,7 +120,7 @@
         fail(asio::error::invalid_argument);
         return;
     }
-    if (buffer_.size() == 0 && buffer_.capacity() > 2 * read_size) {
+    if (buffer_.size() < read_size && buffer_.capacity() > 2 * read_size) {
         buffer_.shrink_to_fit();
     }
 }
--- a/libs/relay/src/upstream_exchange.cpp
+++ b/libs/relay/src/upstream_exchange.cpp
@@ -155,7 +155,7 @@
             return;
         }
         if (!parser_->is_done()) {
-            client_.record_buffered_bytes(*this, parser_->get().body().size());
+            client_.record_buffered_bytes(*this, parser_->get().body().capacity());
             return;
         }
         on_message(buffer);
--- a/libs/relay/tests/endless_answer_test.cpp
+++ b/libs/relay/tests/endless_answer_test.cpp
@@ -155,6 +155,23 @@
     run_until([&] { return back.target->closed() >= count; });
 }
 
+/// As many callers as the largest targets have slots.
+struct many_endless_answers_fixture : endless_answer_fixture {
+    static constexpr int many_callers = 128;
+
+    many_endless_answers_fixture() : endless_answer_fixture(many_callers) {}
+};
+
+// Guards against a memory use that grows with the number of answers, each within its own limit.
+TEST_CASE_METHOD(many_endless_answers_fixture, "endless_answer_many_bodies_together_stay_in_memory")
+{
+    const auto& entry = any_entry();
+    respond_with({"", ok, proof + chunked + "\r\n", "", "4\r\ndone\r\n"});
+    CHECK(count_answers(entry, many_callers, 502) == many_callers);
+    REQUIRE(peak.bytes() < memory);
+    CHECK(serves_next(entry));
+}
+
 // Guards against the same for bytes before the status line ends, which have no request id.
 TEST_CASE_METHOD(endless_answer_fixture, "endless_answer_without_a_head_ends_only_its_request")
 {
