Limit the answers to other requests that an exchange skips

What callers saw: a target that repeats the answer to another request without end kept the node busy until the deadline, with a log line for each copy; the caller got 504 after its whole time.

Cause: interim answers were limited to 16, copies of earlier answers, which are skipped in the same way, were not.

Fix: one limit for both. After it the exchange fails: 502.

Evidence: endless_answer_of_other_requests_* fails before the change (0 == 1 answers with 502, then the time limit of the run) and passes with it.

--- a/libs/relay/src/upstream_exchange.cpp
+++ b/libs/relay/src/upstream_exchange.cpp
@@ -17,9 +17,9 @@
 
 namespace {
 
-/// Max interim answers (status 1xx) before the final one. HTTP defines three kinds, and a target
-/// has no reason to repeat them often.
-constexpr std::size_t max_interim_answers = 16;
+/// Max answers before the one of this request: interim ones (status 1xx), of which HTTP defines
+/// three kinds, and copies of earlier answers. A target has no reason to repeat either often.
+constexpr std::size_t max_skipped_answers = 16;
 
 /// Max bytes of the head of an answer, of a chunk header and of the trailer section.
 constexpr std::uint32_t max_framing_bytes = 8192;
@@ -175,10 +175,15 @@
     return is_reused_ ? owner::unknown : owner::this_request;
 }
 
-bool upstream_exchange::count_interim_answer()
+void upstream_exchange::skip_answer()
 {
-    ++interim_answers_;
-    return interim_answers_ <= max_interim_answers;
+    ++skipped_answers_;
+    if (skipped_answers_ > max_skipped_answers) {
+        finish_invalid("more than " + std::to_string(max_skipped_answers) +
+                       " answers that are interim or belong to other requests");
+        return;
+    }
+    new_parser();
 }
 
 void upstream_exchange::finish_invalid(const std::string& detail)
@@ -196,7 +201,7 @@
 {
     auto message = parser_->release();
     if (message.result_int() / 100 == 1) {
-        count_interim_answer() ? new_parser() : finish_invalid("too many interim (1xx) answers");
+        skip_answer();
         return;
     }
     const auto whose = owner_of(message);
@@ -208,7 +213,7 @@
         // A duplicate answer to an earlier request; the answer to this request follows it.
         log_event("answer_of_other_request").add("id", id_).warning();
         is_clean_ = false;
-        new_parser();
+        skip_answer();
         return;
     }
     const bool keep =
--- a/libs/relay/src/upstream_exchange.h
+++ b/libs/relay/src/upstream_exchange.h
@@ -48,8 +48,8 @@
     enum class owner : std::uint8_t { this_request, other_request, unknown };
     owner
     owner_of(const boost::beast::http::response<boost::beast::http::string_body>& message) const;
-    /// Counts an interim answer (status 1xx). Returns false if there were too many.
-    bool count_interim_answer();
+    /// Goes on to the next answer on the connection, unless too many were skipped.
+    void skip_answer();
     void finish_invalid(const std::string& detail);
     void on_message(boost::beast::flat_buffer& buffer);
     void finish(upstream_result result);
@@ -64,7 +64,7 @@
     std::string id_;
     byte_account::holder number_;
     std::size_t answer_limit_;
-    std::size_t interim_answers_ = 0;
+    std::size_t skipped_answers_ = 0;
     /// Bytes that the connection had sent before this request.
     std::uint64_t sent_before_ = 0;
     bool is_reused_ = false;
--- a/libs/relay/tests/endless_answer_test.cpp
+++ b/libs/relay/tests/endless_answer_test.cpp
@@ -186,6 +186,20 @@
     CHECK(serves_next(entry));
 }
 
+// Guards against reading the answers to other requests until the deadline, with a log line each.
+TEST_CASE_METHOD(endless_answer_fixture, "endless_answer_of_other_requests_ends_only_its_request")
+{
+    const auto& entry = any_entry();
+    const auto count = GENERATE(1, caller_count);
+    respond = [](const auto&) {
+        return reply{"", end::silent,
+                     ok + proof + "trefoil-request-id: other\r\nContent-Length: 4\r\n\r\ndone"};
+    };
+    CHECK(count_answers(entry, count, 502) == count);
+    REQUIRE(peak.bytes() < memory);
+    CHECK(serves_next(entry));
+}
+
 // Guards against buffering bytes that follow a complete answer.
 TEST_CASE_METHOD(endless_answer_fixture, "endless_answer_bytes_past_its_end_are_not_buffered")
 {
