Limit chunk headers and trailers in requests of callers

A caller that sends bytes without end in place of a chunk size was read up to the size of the largest permitted body, and 16 such connections took a node of 160 MB over its memory.

What was counted of a caller is bounded by the largest body of the configuration, which a chunk header may not use up.

Fix: the same function parses requests; a chunk header or a trailer section beyond max_header_bytes is refused with 431 before the request is handled.

--- a/libs/relay/src/caller_session.cpp
+++ b/libs/relay/src/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "caller_session.h"
 
 #include "http_text.h"
+#include "parse_input.h"
 
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
@@ -24,7 +25,7 @@
 
 unsigned status_of(const boost::system::error_code& error)
 {
-    if (error == http::error::header_limit) {
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
         return 431;
     }
     return error == http::error::body_limit ? 413 : 400;
@@ -122,14 +123,7 @@
         parser_->body_limit(limits_.max_body_bytes);
         continue_sent_ = false;
     }
-    boost::system::error_code error;
-    while (buffer.size() > 0 && !parser_->is_done()) {
-        const auto used = parser_->put(buffer.data(), error);
-        buffer.consume(used);
-        if (error || used == 0) {
-            break;
-        }
-    }
+    const auto error = parse_input(*parser_, buffer, limits_.max_header_bytes);
     if (error && error != http::error::need_more) {
         refuse(error);
         return true;
@@ -150,7 +144,7 @@
     parser_.reset();
     busy_ = true;
     is_head_ = false;
-    answer({status_of(error), {}, error.message(), {}}, false);
+    answer({status_of(error), {}, parse_error_text(error), {}}, false);
 }
 
 void caller_session::refuse_unread(const relay_answer& refusal)
