Limit the input buffer of pages read from the store and the target

A page of the store, or of the target's status check, with bytes without end in place of a chunk size was buffered until the time limit of the read, which is longest for a watch.

Cause: the reads of Boost.Beast bound heads and bodies, and put what the parser cannot take yet into a buffer without a limit.

Fix: the buffer holds 64 KiB at most; the read then fails with buffer_overflow, as any broken page does.

Evidence: endless_page_fails_before_its_timeout_* fails before the change (std::bad_alloc for a chunk size and a chunk extension, then the time limit of the run) and passes with it.

--- a/libs/relay/include/relay/http_get_client.h
+++ b/libs/relay/include/relay/http_get_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "call_io/asio.h"
+#include "call_io/input_limit.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -57,7 +58,7 @@
     tcp::endpoint server_;
     std::deque<job> jobs_;
     std::unique_ptr<boost::beast::tcp_stream> stream_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_{max_input_buffer_bytes};
     boost::beast::http::request<boost::beast::http::empty_body> request_;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
     bool busy_ = false;
--- a/libs/relay/tests/endless_input_test.cpp
+++ b/libs/relay/tests/endless_input_test.cpp
@@ -3,6 +3,8 @@
 #include "node_codec.h"
 #include "relay_fixture.h"
 
+#include "relay/http_get_client.h"
+
 #include <catch2/catch.hpp>
 
 #include <array>
@@ -66,6 +68,34 @@
     }
 };
 
+/// Fetches pages from a server that sends bytes without end.
+struct endless_page_fixture {
+    asio::io_context context{1};
+    tcp::acceptor acceptor{context, {asio::ip::make_address_v4("127.0.0.1"), 0}};
+    std::optional<http_get_result> result;
+
+    void serve(std::string start, std::string block)
+    {
+        asio::co_spawn(
+            context,
+            [this, start = std::move(start), block = std::move(block)]() -> asio::awaitable<void> {
+                auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+                co_await asio::async_write(socket, asio::buffer(start), asio::use_awaitable);
+                co_await write_endlessly(socket, block);
+            },
+            asio::detached);
+    }
+
+    void get(std::chrono::milliseconds timeout)
+    {
+        const auto client = std::make_shared<http_get_client>(context, acceptor.local_endpoint());
+        client->get("/", timeout, [this](auto r) { result = std::move(r); });
+        while (!result) {
+            context.run_one();
+        }
+    }
+};
+
 } // namespace
 
 // Guards against a node that exceeds its memory since callers send bytes without end where a
@@ -122,3 +152,27 @@
     CHECK(peak.bytes() < smallest_memory);
     CHECK(serves_next());
 }
+
+// Guards against a page of the store or of the target's status check that uses up the memory.
+TEST_CASE_METHOD(endless_page_fixture, "endless_page_fails_before_its_timeout_in_memory")
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    const auto [name, start, block] = GENERATE_COPY(table<std::string, std::string, std::string>(
+        {{"chunk size", chunked, "x"},
+         {"chunk extension", chunked + "4;a=", "b"},
+         {"one trailer line", chunked + "4\r\ndone\r\n0\r\nA: ", "b"},
+         {"trailer lines", chunked + "0\r\n", "A: b\r\n"},
+         {"header lines", ok, "A: b\r\n"},
+         {"status line", "HTTP/1.1 200 ", "x"},
+         {"body up to the end", ok + "\r\n", "x"},
+         {"body in chunks", chunked, "4\r\ndone\r\n"},
+         {"body of a length beyond the limit", ok + "Content-Length: 99999999999\r\n\r\n", "x"}}));
+    INFO(name);
+    const memory_peak peak;
+    serve(start, block);
+    get(5s);
+    CHECK(result->status == 0);
+    CHECK(result->detail.find("timeout") == std::string::npos);
+    CHECK(peak.bytes() < smallest_memory);
+}
