Limit the input buffers of the own node's connections

An upstream or a caller that sends bytes without end in place of a chunk size was read until the time limit: the deadline of the request, 10 s for a caller.

The read fails with buffer_overflow: the upstream's response counts as lost, the caller gets 400.

Evidence: pool_endless_response_* fails before the change (timed_out in 4 of 4 cases), listener_endless_request_* too (not closed after 3 s in 3 cases, then the time limit of the run). Both pass with it.

--- a/libs/call_io/src/call_listener.cpp
+++ b/libs/call_io/src/call_listener.cpp
@@ -1,6 +1,7 @@
 #include "call_io/call_listener.h"
 
 #include "base/log_event.h"
+#include "call_io/input_limit.h"
 #include "call_io/peer_has_closed.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -188,7 +189,7 @@
     }
 
     beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{max_input_buffer_bytes};
     std::size_t shard_;
     std::shared_ptr<listener_state> state_;
 };
--- a/libs/call_io/src/connection_pool.cpp
+++ b/libs/call_io/src/connection_pool.cpp
@@ -1,5 +1,6 @@
 #include "call_io/connection_pool.h"
 
+#include "call_io/input_limit.h"
 #include "wire/call_headers.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -25,7 +26,7 @@
     explicit connection(asio::io_context& context) : stream(context) {}
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_input_buffer_bytes};
     steady_clock::time_point last_progress;
     bool reused = false;
 };
--- a/libs/call_io/tests/call_io_test.cpp
+++ b/libs/call_io/tests/call_io_test.cpp
@@ -65,6 +65,18 @@
     }
 };
 
+/// Beginnings of the parts of a chunked message that a parser takes only once they are complete.
+const std::array<std::string, 4> endless_starts{"", "4;a=", "4\r\ndone\r\n0\r\nA: ", "0;a="};
+
+/// Writes bytes until the peer closes the connection, which ends it with an exception.
+asio::awaitable<void> write_block_endlessly(tcp::socket& socket)
+{
+    const std::string block(std::size_t{64} * 1024, 'b');
+    for (;;) {
+        co_await asio::async_write(socket, asio::buffer(block), asio::use_awaitable);
+    }
+}
+
 /// Client and a server that can violate the protocol on request.
 struct pool_fixture : client_fixture {
     std::atomic<std::size_t> requests_received = 0;
@@ -80,6 +92,12 @@
         threads.start();
     }
 
+    static std::string endless_head(const std::string& id)
+    {
+        return "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ntrefoil-request-id: " + id +
+               "\r\n\r\n";
+    }
+
     asio::awaitable<void> accept_loop(tcp::acceptor acceptor)
     {
         for (;;) {
@@ -89,9 +107,10 @@
     }
 
     /// The id of a request selects the server's response: "foreign" gets a response with another
-    /// id, "silent" gets none, "cut/N" gets one without its last N bytes, followed by a close.
-    /// Other ids get a valid response. Ends with an exception when the client closes the
-    /// connection.
+    /// id, "silent" gets none, "cut/N" gets one without its last N bytes, followed by a close,
+    /// "status/N" one with this status code, "endless/N" the N-th of `endless_starts` and then
+    /// bytes without end. Other ids get a valid response. Ends with an exception when the client
+    /// closes the connection.
     asio::awaitable<void> serve(tcp::socket socket)
     {
         boost::beast::flat_buffer buffer;
@@ -101,7 +120,14 @@
             ++requests_received;
             const auto id = request.body();
             truncate = id.starts_with("cut/");
-            auto response = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\ntrefoil-request-id: " +
+            if (id.starts_with("endless/")) {
+                const auto text = endless_head(id) + endless_starts.at(std::stoul(id.substr(8)));
+                co_await asio::async_write(socket, asio::buffer(text), asio::use_awaitable);
+                co_await write_block_endlessly(socket);
+            }
+            const auto status = id.starts_with("status/") ? id.substr(7) : "200";
+            auto response = "HTTP/1.1 " + status +
+                            " OK\r\ncontent-length: 4\r\ntrefoil-request-id: " +
                             (id == "foreign" ? "earlier" : id) + "\r\n\r\ndone";
             const auto missing_bytes = truncate         ? std::stoul(id.substr(4))
                                        : id == "silent" ? 999
@@ -156,6 +182,17 @@
     REQUIRE(pool.counters().opened == 2);
 }
 
+// Guards against buffering a chunk header or a trailer without end until the deadline.
+TEST_CASE_METHOD(pool_fixture, "pool_endless_response_is_lost_before_its_deadline")
+{
+    const auto id = "endless/" + std::to_string(GENERATE(range(0, 4)));
+    CAPTURE(id);
+    const auto result = send(server, id, 3s);
+    CHECK(result.status == exchange_status::lost);
+    CHECK_FALSE(result.timed_out);
+    CHECK(send(server, "later").status == exchange_status::answered);
+}
+
 // Guards against a truncated response that is delivered as complete.
 TEST_CASE_METHOD(pool_fixture, "pool_truncated_response_has_status_lost")
 {
@@ -310,6 +347,24 @@
     REQUIRE(handled[0] + handled[1] == 0);
 }
 
+// Guards against buffering a chunk header or a trailer without end.
+TEST_CASE_METHOD(listener_fixture, "listener_endless_request_gets_4xx_without_a_handler")
+{
+    const auto start = GENERATE(from_range(endless_starts));
+    CAPTURE(start);
+    bool is_closed = false;
+    const auto text = "POST /work HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n" + start;
+    asio::write(client, asio::buffer(text));
+    asio::co_spawn(context, write_block_endlessly(client),
+                   [&](const std::exception_ptr&) { is_closed = true; });
+    // A test that fails stops here, before the process uses much memory.
+    context.restart();
+    context.run_for(3s);
+    CHECK(is_closed);
+    CHECK(handled[0] + handled[1] == 0);
+    CHECK(send(server, "later").status == exchange_status::answered);
+}
+
 // Guards against responses that are mixed up between concurrent connections or shards.
 TEST_CASE_METHOD(listener_fixture, "listener_responses_over_two_shards_match_their_requests")
 {
