Answer 502 when a target's status code is not that of a final response

Codes from 600 on were passed on as they are, and with the mark of a request that has not run, any of these became a 503.

Cause: the parser accepts any three digits, and the node took every code but a 2xx as a failure of the target that needs no check.

Ruled out: other versions, two or four digits, signs, letters and missing status lines, which the parser refuses; 300 status lines spoiled at random show nothing else.

Fix: codes outside 200 to 599 are an invalid answer, before any header of it is looked at: 502, the connection is closed, and answer_invalid names the code and the id. Since the node beside the target refuses it, nothing out of range reaches the other node, which ended the connection.

--- a/libs/relay/src/upstream_exchange.cpp
+++ b/libs/relay/src/upstream_exchange.cpp
@@ -4,6 +4,7 @@
 #include "parse_input.h"
 
 #include "base/log_event.h"
+#include "call_io/final_status.h"
 
 #include <boost/beast/http/error.hpp>
 
@@ -234,6 +235,13 @@
     const bool has_not_run = find_header(message, names.not_run).has_value();
     const bool is_encoded = find_header(message, "content-encoding").has_value();
     result.answer.status = message.result_int();
+    if (!is_final_status(result.answer.status)) {
+        log_event("answer_invalid")
+            .add("id", id_)
+            .add("detail", "status code out of range: " + std::to_string(result.answer.status))
+            .warning();
+        return result;
+    }
     if (has_not_run || result.answer.status == 421) {
         result.outcome = call_outcome::not_run;
         result.is_misdirected = result.answer.status == 421;
