Fail only the request of an invalid answer from another node

An answer from another node with a status, an outcome or an admit level out of range ended the connection of the two nodes, and all other requests on it got 502.

Cause: the range check threw the exception for bytes that are no message, although the message was decoded and its request is known.

Fix: the request gets the outcome of a lost one, peer_answer_invalid names the value, and the connection goes on. Bytes that cannot be decoded end it as before. Codes are those of final responses; interim ones, which no node sends, are refused as well.

--- a/libs/relay/src/node_codec.cpp
+++ b/libs/relay/src/node_codec.cpp
@@ -1,5 +1,6 @@
 #include "node_codec.h"
 
+#include "call_io/final_status.h"
 #include "dispatch/call_outcome.h"
 
 #include <boost/endian/conversion.hpp>
@@ -56,13 +57,11 @@
 
 void check_range(const answer_message& answer)
 {
-    constexpr unsigned first_status = 100;
-    constexpr unsigned last_status = 599;
     const bool is_answered = answer.outcome == static_cast<std::uint8_t>(call_outcome::answered);
     if (answer.outcome > static_cast<std::uint8_t>(call_outcome::no_response)) {
         throw invalid_node_message("outcome out of range: " + std::to_string(answer.outcome));
     }
-    if (is_answered && (answer.status < first_status || answer.status > last_status)) {
+    if (is_answered && !is_final_status(answer.status)) {
         throw invalid_node_message("status out of range: " + std::to_string(answer.status));
     }
     if (answer.level > to_wire_level(1.0)) {
--- a/libs/relay/src/peer_link.cpp
+++ b/libs/relay/src/peer_link.cpp
@@ -193,12 +193,30 @@
     }
 }
 
+answer_message peer_link::checked(answer_message answer) const
+{
+    try {
+        check_range(answer);
+        return answer;
+    }
+    catch (const invalid_node_message& e) {
+        log_event("peer_answer_invalid")
+            .add("peer", peer_)
+            .add("stream", answer.stream)
+            .add("detail", e.what())
+            .warning();
+        auto replacement = failure(call_outcome::no_response);
+        replacement.stream = answer.stream;
+        replacement.version = answer.version;
+        return replacement;
+    }
+}
+
 void peer_link::handle(const raw_node_message& message)
 {
     switch (message.kind) {
     case node_message_kind::answer: {
-        auto answer = decode_fields<answer_message>(message);
-        check_range(answer);
+        auto answer = checked(decode_fields<answer_message>(message));
         if (handlers_.state.peer_version(answer.version.version())) {
             request_state();
         }
--- a/libs/relay/src/peer_link.h
+++ b/libs/relay/src/peer_link.h
@@ -83,6 +83,9 @@
     call_outcome outcome_of_failed(std::uint32_t stream) const;
     void on_data(boost::beast::flat_buffer& buffer);
     void handle(const struct raw_node_message& message);
+    /// Returns the answer, or a failure in its place if its values are out of range: an invalid
+    /// answer must not end the other requests on the connection.
+    answer_message checked(answer_message answer) const;
     void on_lost();
     void on_unresponsive();
     void check();
--- a/libs/relay/tests/stand_in_node.h
+++ b/libs/relay/tests/stand_in_node.h
@@ -24,8 +24,13 @@
     /// Returns the delay of the answer to the request with this number, counted from 0.
     using delay_of = std::function<std::chrono::milliseconds(std::size_t request)>;
 
-    stand_in_node(asio::io_context& context, const tcp::endpoint& local, delay_of delay)
-        : acceptor_(context, local), delay_(std::move(delay))
+    /// Changes the answer to the request with this number.
+    using change_of = std::function<void(std::size_t request, answer_message&)>;
+
+    stand_in_node(
+        asio::io_context& context, const tcp::endpoint& local, delay_of delay,
+        change_of change = [](std::size_t, answer_message&) {})
+        : acceptor_(context, local), delay_(std::move(delay)), change_(std::move(change))
     {
         asio::co_spawn(context, accept(), asio::detached);
     }
@@ -70,23 +75,23 @@
                     if (message.kind == node_message_kind::call) {
                         const auto call = decode_fields<call_message>(message);
                         asio::co_spawn(acceptor_.get_executor(),
-                                       answer(socket, call.stream, delay_(requests_++)),
-                                       asio::detached);
+                                       answer(socket, call.stream, requests_++), asio::detached);
                     }
                 });
         }
     }
 
-    static asio::awaitable<void> answer(std::shared_ptr<tcp::socket> socket, std::uint32_t stream,
-                                        std::chrono::milliseconds delay)
+    asio::awaitable<void> answer(std::shared_ptr<tcp::socket> socket, std::uint32_t stream,
+                                 std::size_t number)
     {
-        asio::steady_timer timer(socket->get_executor(), delay);
+        asio::steady_timer timer(socket->get_executor(), delay_(number));
         boost::system::error_code error;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
         answer_message message;
         message.stream = stream;
         message.status = 200;
         message.body = "done";
+        change_(number, message);
         const auto bytes = encode_message(node_message_kind::answer, message);
         co_await asio::async_write(*socket, asio::buffer(bytes),
                                    asio::redirect_error(asio::use_awaitable, error));
@@ -94,6 +99,7 @@
 
     tcp::acceptor acceptor_;
     delay_of delay_;
+    change_of change_;
     std::size_t requests_ = 0;
     std::size_t connections_ = 0;
 };
--- a/libs/relay/tests/status_line_test.cpp
+++ b/libs/relay/tests/status_line_test.cpp
@@ -1,4 +1,5 @@
 #include "relay_fixture.h"
+#include "stand_in_node.h"
 
 #include <catch2/catch.hpp>
 
@@ -62,6 +63,31 @@
     }
 };
 
+/// An entry node and a peer that answers its second request with the values of the test.
+struct invalid_answer_fixture : relay_fixture {
+    answer_message invalid;
+    vm& front = add_vm("front", "front", [](const auto&) { return reply{}; });
+    const asio::ip::address peer_address = asio::ip::make_address("127.0.0.9");
+    stand_in_node peer{context,
+                       {peer_address, front.settings.inbound.port()},
+                       [](std::size_t number) { return number == 0 ? 300ms : 0ms; },
+                       [this](std::size_t number, answer_message& answer) {
+                           if (number == 1) {
+                               invalid.stream = answer.stream;
+                               answer = invalid;
+                           }
+                       }};
+
+    invalid_answer_fixture()
+    {
+        front.node->set_config(config_for("orders", false));
+        auto entry = entry_of(front, "peer");
+        entry.service = service_name("orders");
+        entry.address = peer_address.to_string();
+        front.node->put_target(entry);
+    }
+};
+
 } // namespace
 
 // Guards against passing bytes on to a caller that are no HTTP response, since the target's status
@@ -139,3 +165,33 @@
     CHECK(serves_next(front));
     CHECK(other.available() == 0);
 }
+
+// Guards against the same when the other node, of another version, passes on invalid values.
+TEST_CASE_METHOD(invalid_answer_fixture,
+                 "status_line_invalid_answer_of_a_node_ends_only_its_request")
+{
+    SECTION("status 0")
+    {
+        invalid.status = 0;
+    }
+    SECTION("status 600")
+    {
+        invalid.status = 600;
+    }
+    SECTION("unknown outcome")
+    {
+        invalid.outcome = 77;
+    }
+    SECTION("admit level")
+    {
+        invalid.status = 200;
+        invalid.level = 1001;
+    }
+    auto other = connect(front.settings.outbound);
+    asio::write(other, asio::buffer(request_text("id-1")));
+    run_until([this] { return peer.requests() == 1; });
+    CHECK(ask(front.settings.outbound, request_text("id-2")).result_int() == 502);
+    CHECK(read_answer(other).result_int() == 200);
+    CHECK(ask(front.settings.outbound, request_text("id-3")).result_int() == 200);
+    CHECK(peer.connections() == 1);
+}
