Refuse responses without a final status in the own node's pool

Fix: with a code outside 200 to 599 the response counts as lost, so that the caller is told that the outcome is unknown. A counter and a log line with the id and the code tell of it.

Evidence: pool_response_without_a_final_status_* fails before the change (answered in place of lost in 4 of 4 cases) and passes with it.

--- a/libs/call_io/include/call_io/connection_pool.h
+++ b/libs/call_io/include/call_io/connection_pool.h
@@ -47,6 +47,8 @@
     std::uint64_t throttled = 0;
     /// Responses with the id of another request.
     std::uint64_t mismatched = 0;
+    /// Responses with a status code that is not that of a final response.
+    std::uint64_t invalid = 0;
 };
 
 /// Pool of persistent HTTP/1.1 connections to other processes. Not thread-safe: must be used only
--- a/libs/call_io/src/connection_pool.cpp
+++ b/libs/call_io/src/connection_pool.cpp
@@ -1,5 +1,7 @@
 #include "call_io/connection_pool.h"
 
+#include "base/log_event.h"
+#include "call_io/final_status.h"
 #include "call_io/input_limit.h"
 #include "wire/call_headers.h"
 
@@ -183,6 +185,15 @@
         ++counters_.mismatched;
         co_return;
     }
+    if (!is_final_status(result.response.result_int())) {
+        ++counters_.invalid;
+        log_event("response_invalid")
+            .add("id", header(request, call_headers::request_id).value_or(""))
+            .add("detail",
+                 "status code out of range: " + std::to_string(result.response.result_int()))
+            .warning();
+        co_return;
+    }
     result.status = exchange_status::answered;
 }
 
--- a/libs/call_io/tests/call_io_test.cpp
+++ b/libs/call_io/tests/call_io_test.cpp
@@ -193,6 +193,15 @@
     CHECK(send(server, "later").status == exchange_status::answered);
 }
 
+// Guards against delivering a response whose status code is none.
+TEST_CASE_METHOD(pool_fixture, "pool_response_without_a_final_status_is_not_delivered")
+{
+    const auto* const status = GENERATE("000", "099", "600", "999");
+    CHECK(send(server, std::string("status/") + status).status == exchange_status::lost);
+    CHECK(pool.counters().invalid == 1);
+    CHECK(send(server, "later").status == exchange_status::answered);
+}
+
 // Guards against a truncated response that is delivered as complete.
 TEST_CASE_METHOD(pool_fixture, "pool_truncated_response_has_status_lost")
 {
