--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -619,6 +619,19 @@
     signal(SIGHUP);
 }
 
+void sidecar::set_grace(int seconds)
+{
+    grace_s_ = seconds;
+    write_settings();
+}
+
+void sidecar::change_grace(int seconds)
+{
+    log_.line(machine_.name + ": settings file has grace_s " + std::to_string(seconds));
+    set_grace(seconds);
+    signal(SIGHUP);
+}
+
 void sidecar::write_settings() const
 {
     const auto at = [this](int port) { return machine_.ip + ":" + std::to_string(port); };
@@ -640,7 +653,8 @@
          << "contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\","
          << "\"pressure\",\"platform\"]\n[terms.fault_tolerance]\nmachines = 2\nzones = 0\n"
          << "regions = 0\n[terms.bounds]\nseed_lag_s = 3\naddr_reuse_s = 2\ncontact_s = 3\n"
-         << "ack_s = 4\ncatch_up_s = 4\ndrain_s = 2\ngrace_s = 6\nloss_slack_s = 0.2\n"
+         << "ack_s = 4\ncatch_up_s = 4\ndrain_s = 2\ngrace_s = " << grace_s_
+         << "\nloss_slack_s = 0.2\n"
          << "config_apply_s = 2\nrollback_slack_s = 0.25\nouter_s = 5\n"
          << "retry_budget_ratio = 0.2\nbudget_window_s = 10\nbudget_slack = 50\nrecover_s = 15\n";
 }
@@ -820,6 +834,7 @@
 
 void kept_clients::send_requests(int client)
 {
+    sleep_for(client * options_.stagger);
     int fd = -1;
     std::string buffer;
     for (int n = 0; !over_; ++n) {
@@ -832,6 +847,7 @@
             continue;
         }
         const auto id = "order-" + std::to_string(client) + "-" + std::to_string(n);
+        const auto sent = steady::now();
         const auto o = exchange(fd, buffer,
                                 request_text("POST", options_.host, options_.path, id,
                                              static_cast<int>(options_.deadline.count()), "robe"),
@@ -839,7 +855,7 @@
         if (o.end == read_status::closed || o.end == read_status::reset) {
             log_.line("client: connection of request " + id + " ended without an answer");
             const std::lock_guard lock(mutex_);
-            unanswered_.insert(id);
+            unanswered_.emplace(id, sent);
         }
         else if (o.status != 0) {
             ++answered_;
@@ -849,13 +865,17 @@
             close_fd(fd);
             fd = -1;
         }
+        if (const auto text = o.answer.header("retry-after"); o.status == 503 && !text.empty()) {
+            const milliseconds wait(static_cast<int>(1000.0 * std::atof(text.c_str())));
+            sleep_for(std::min(wait, options_.deadline / 3));
+        }
     }
     if (fd >= 0) {
         close_fd(fd);
     }
 }
 
-std::set<std::string> kept_clients::unanswered()
+std::map<std::string, steady::time_point> kept_clients::unanswered()
 {
     const std::lock_guard lock(mutex_);
     return unanswered_;
@@ -897,15 +917,17 @@
     }
 }
 
-int count_lost(target& sound, kept_clients& clients)
+int count_lost(target& sound, kept_clients& clients, steady::time_point after)
 {
     std::set<std::string> run;
     for (const auto& r : sound.runs()) {
         run.insert(r.request_id);
     }
     const auto unanswered = clients.unanswered();
-    return static_cast<int>(std::count_if(unanswered.begin(), unanswered.end(),
-                                          [&](const auto& id) { return run.contains(id); }));
+    return static_cast<int>(
+        std::count_if(unanswered.begin(), unanswered.end(), [&](const auto& entry) {
+            return entry.second > after && run.contains(entry.first);
+        }));
 }
 
 std::string free_block(int count)
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -212,6 +212,10 @@
     void signal(int number);
     /// Writes the settings file for a target of another service and sends SIGHUP.
     void change_service(const std::string& service);
+    /// Sets `grace_s` of the settings; to be called before the start.
+    void set_grace(int seconds);
+    /// Writes the settings file with another `grace_s` and sends SIGHUP.
+    void change_grace(int seconds);
     /// Waits for the end of the process; false if it still runs at the deadline.
     bool wait_end(milliseconds limit);
     bool is_running();
@@ -232,6 +236,7 @@
     std::string store_ip_;
     int store_port_;
     int memory_mb_;
+    int grace_s_ = 6;
     recorder& log_;
     std::string settings_;
     std::string output_;
@@ -285,6 +290,8 @@
         std::string path;
         milliseconds deadline{5000};
         int count = 8;
+        /// Time between the starts of two clients.
+        milliseconds stagger{0};
     };
 
     kept_clients(options o, recorder& log);
@@ -296,8 +303,8 @@
     /// Waits for the answers to the requests in progress.
     void stop();
 
-    /// Ids of the requests whose connection ended without a complete answer.
-    std::set<std::string> unanswered();
+    /// Requests whose connection ended without a complete answer: ids and the times of sending.
+    std::map<std::string, steady::time_point> unanswered();
     int answered() const { return answered_; }
 
 private:
@@ -308,7 +315,7 @@
     std::atomic<bool> over_{false};
     std::atomic<int> answered_{0};
     std::mutex mutex_;
-    std::set<std::string> unanswered_;
+    std::map<std::string, steady::time_point> unanswered_;
     std::vector<std::thread> threads_;
 };
 
@@ -336,8 +343,10 @@
     std::thread thread_;
 };
 
-/// Number of the requests that a target ran and whose connection ended without a complete answer.
-int count_lost(target& sound, kept_clients& clients);
+/// Number of the requests that a target ran and whose connection ended without a complete answer;
+/// only of those sent later than `after`.
+int count_lost(target& sound, kept_clients& clients,
+               steady::time_point after = steady::time_point::min());
 
 /// Finds loopback addresses 127.A.B.1 to 127.A.B.COUNT on which the ports of a deployment are free.
 std::string free_block(int count);
