--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -285,9 +285,12 @@
     return true;
 }
 
-int connect_to(const std::string& ip, int port, milliseconds timeout)
+int connect_to(const std::string& ip, int port, milliseconds timeout, int receive_bytes)
 {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (receive_bytes > 0) {
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof receive_bytes);
+    }
     const auto a = address_of(ip, port);
     if (connect(fd, reinterpret_cast<const sockaddr*>(&a), sizeof a) != 0) {
         pollfd p{fd, POLLOUT, 0};
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -61,8 +61,10 @@
 bool write_all(int fd, const std::string& bytes,
                steady::time_point deadline = steady::time_point::max());
 
-/// Connects to an address; -1 on failure.
-int connect_to(const std::string& ip, int port, milliseconds timeout = milliseconds(1000));
+/// Connects to an address; -1 on failure. `receive_bytes` is the size of the receive buffer; 0 for
+/// the system's choice.
+int connect_to(const std::string& ip, int port, milliseconds timeout = milliseconds(1000),
+               int receive_bytes = 0);
 
 /// Closes a connection; with a reset if `with_reset`.
 void close_fd(int fd, bool with_reset = false);
