--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -614,14 +614,6 @@
     write_settings();
 }
 
-void sidecar::change_service(const std::string& service)
-{
-    log_.line(machine_.name + ": settings file names service " + service);
-    machine_.service = service;
-    write_settings();
-    signal(SIGHUP);
-}
-
 void sidecar::set_grace(int seconds)
 {
     grace_s_ = seconds;
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -212,8 +212,6 @@
 
     void start();
     void signal(int number);
-    /// Writes the settings file for a target of another service and sends SIGHUP.
-    void change_service(const std::string& service);
     /// Sets `grace_s` of the settings; to be called before the start.
     void set_grace(int seconds);
     /// Writes the settings file with another `grace_s` and sends SIGHUP.
