Read a connection only when it has input, so that its buffer has one owner

Cause: a read into the input buffer was always pending, while the session consumed the next request from that buffer after it had written an answer. The pending read then stored its bytes elsewhere than the buffer expected. Ruled out: the parser (the same bytes in any cut are parsed alike once no read is pending) and the order of writes.

byte_stream now waits for readability without a buffer and reads at once. All connections of the sidecar use it. The other user of a pending read, http_get_client, shares its buffer with nobody.

--- a/libs/relay/src/byte_stream.cpp
+++ b/libs/relay/src/byte_stream.cpp
@@ -18,9 +18,12 @@
 
 namespace {
 
-/// Buffer space reserved per read, in bytes; most messages are smaller.
+/// Bytes of the first read; most messages are smaller.
 constexpr std::size_t read_size = 4096;
 
+/// Bytes of further reads while there is more.
+constexpr std::size_t large_read_size = std::size_t{32} * 1024;
+
 /// Limit in bytes for the input that is read before it is passed on.
 constexpr std::size_t max_turn_bytes = std::size_t{256} * 1024;
 
@@ -42,7 +45,7 @@
     socket_.non_blocking(true, ignored);
     const auto timeout = static_cast<unsigned>(unacknowledged_.count());
     setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
-    read();
+    await_input();
 }
 
 void byte_stream::connect(const tcp::endpoint& peer, handlers h,
@@ -63,43 +66,50 @@
     });
 }
 
-void byte_stream::read()
+void byte_stream::await_input()
 {
-    if (reading_ || paused_ || !open_ || input_ended_) {
+    if (awaits_input_ || paused_ || !open_ || input_ended_) {
         return;
     }
-    reading_ = true;
-    socket_.async_read_some(
-        buffer_.prepare(read_size), [self = shared_from_this()](auto error, std::size_t count) {
-            if (!self->open_) {
-                return;
-            }
-            if (error) {
-                self->end_input(error);
-                return;
-            }
-            self->buffer_.commit(count);
-            // A filled buffer suggests that there is more, such as the cancellation of a call.
-            const auto end = count == read_size ? self->read_available() : error;
-            self->deliver();
-            // Not before: a read that a handler starts would be into memory that the buffer gives
-            // up.
-            self->reading_ = false;
-            if (end && self->open_) {
-                self->end_input(end);
-                return;
-            }
-            self->read();
-        });
+    awaits_input_ = true;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](auto error) {
+        self->awaits_input_ = false;
+        if (!self->open_ || self->paused_) {
+            return;
+        }
+        if (error) {
+            self->end_input(error);
+            return;
+        }
+        self->on_readable();
+    });
+}
+
+void byte_stream::on_readable()
+{
+    const auto before = buffer_.size();
+    const auto end = read_available();
+    if (buffer_.size() > before) {
+        deliver();
+    }
+    if (end && open_) {
+        end_input(end);
+    }
+    await_input();
 }
 
 boost::system::error_code byte_stream::read_available()
 {
     boost::system::error_code error;
-    std::size_t count = read_size;
-    for (auto total = count; count == read_size && total < max_turn_bytes; total += count) {
-        count = socket_.read_some(buffer_.prepare(read_size), error);
+    std::size_t wanted = read_size;
+    // A filled buffer suggests that there is more, such as the cancellation of a call.
+    for (std::size_t total = 0; total < max_turn_bytes; wanted = large_read_size) {
+        const auto count = socket_.read_some(buffer_.prepare(wanted), error);
         buffer_.commit(count);
+        total += count;
+        if (count < wanted) {
+            break;
+        }
     }
     const bool is_empty = error == asio::error::would_block || error == asio::error::try_again;
     return is_empty ? boost::system::error_code() : error;
@@ -286,7 +296,7 @@
         close_check_.emplace(socket_.get_executor());
         watch_for_close();
     }
-    read();
+    await_input();
 }
 
 void byte_stream::watch_for_close()
--- a/libs/relay/src/byte_stream.h
+++ b/libs/relay/src/byte_stream.h
@@ -14,8 +14,10 @@
 
 namespace trefoil {
 
-/// One TCP connection that always has a read pending and never blocks on writes, so that a close by
-/// the peer is detected at once. Must be used from the single thread of its io_context.
+/// One TCP connection that always waits for input and never blocks on writes, so that a close by
+/// the peer is detected at once. Owns the buffer of its input: no read into it is ever pending, so
+/// that handlers may consume from it at any time. Must be used from the single thread of its
+/// io_context.
 class byte_stream : public std::enable_shared_from_this<byte_stream> {
 public:
     struct handlers {
@@ -81,7 +83,8 @@
     std::uint64_t sent() const noexcept { return sent_; }
 
 private:
-    void read();
+    void await_input();
+    void on_readable();
     /// Reads what has arrived, up to a limit; returns the error that ended the input, if any.
     boost::system::error_code read_available();
     /// Passes the buffered input on; an exception of the handler ends the connection.
@@ -107,7 +110,7 @@
     /// Set while reading is paused.
     std::optional<asio::steady_timer> close_check_;
     bool open_ = true;
-    bool reading_ = false;
+    bool awaits_input_ = false;
     bool paused_ = false;
     bool input_ended_ = false;
     bool writing_ = false;
