--- a/libs/dispatch/include/dispatch/byte_account.h
+++ b/libs/dispatch/include/dispatch/byte_account.h
@@ -35,6 +35,13 @@
     /// removed, since the total may still exceed the bound.
     std::optional<holder> holder_to_close() const;
 
+    /// Bytes of one holder.
+    std::size_t bytes_of(holder id) const
+    {
+        const auto it = holdings_.find(id);
+        return it == holdings_.end() ? 0 : it->second.bytes;
+    }
+
     /// Bytes of all holders.
     std::size_t total() const noexcept { return total_; }
 
--- a/libs/relay/include/relay/relay_settings.h
+++ b/libs/relay/include/relay/relay_settings.h
@@ -39,6 +39,8 @@
     std::chrono::milliseconds retry_window{10'000};
     /// Memory limit of the process, in bytes.
     std::size_t memory_bytes = std::size_t{256} << 20U;
+    /// Max number of open connections of the process.
+    std::size_t max_connections = 3900;
 };
 
 } // namespace trefoil
--- a/libs/relay/src/byte_stream.cpp
+++ b/libs/relay/src/byte_stream.cpp
@@ -10,6 +10,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <array>
 #include <exception>
 #include <typeinfo>
 #include <utility>
@@ -27,13 +29,25 @@
 /// Limit in bytes for the input that is read before it is passed on.
 constexpr std::size_t max_turn_bytes = std::size_t{256} * 1024;
 
+/// Shared bytes up to this size are copied, which costs less than a part of their own in a write.
+constexpr std::size_t max_copied_bytes = std::size_t{16} * 1024;
+
+/// Max parts of one write.
+constexpr std::size_t max_parts = 16;
+
+/// Size in bytes of this object and of what else the process keeps for a connection.
+constexpr std::size_t connection_bytes = 2048;
+
 /// Interval between checks of a connection whose reading is paused.
 constexpr std::chrono::milliseconds close_check_interval{100};
 
 } // namespace
 
-byte_stream::byte_stream(tcp::socket socket, std::chrono::milliseconds unacknowledged)
-    : socket_(std::move(socket)), unacknowledged_(unacknowledged)
+byte_stream::byte_stream(tcp::socket socket, std::shared_ptr<connection_resources> resources,
+                         std::chrono::milliseconds unacknowledged)
+    : resources_(std::move(resources)), open_count_(resources_, &connection_resources::open),
+      socket_(std::move(socket)), unacknowledged_(unacknowledged),
+      held_(resources_->memory, connection_bytes)
 {
 }
 
@@ -95,6 +109,10 @@
     if (end && open_) {
         end_input(end);
     }
+    count_bytes();
+    if (const auto& resources = *resources_; resources.enforce) {
+        resources.enforce();
+    }
     await_input();
 }
 
@@ -128,11 +146,15 @@
             .add("detail", e.what())
             .error();
         fail(asio::error::invalid_argument);
-        return;
     }
-    if (buffer_.size() < read_size && buffer_.capacity() > 2 * read_size) {
+}
+
+void byte_stream::count_bytes()
+{
+    if (buffer_.size() < read_size && buffer_.capacity() > buffer_.size()) {
         buffer_.shrink_to_fit();
     }
+    held_.resize(connection_bytes + buffer_.capacity() + text_.capacity());
 }
 
 void byte_stream::end_input(boost::system::error_code error)
@@ -152,61 +174,91 @@
     if (!open_) {
         return;
     }
-    if (pending_.empty()) {
-        pending_ = std::move(bytes);
+    unwritten_ += bytes.size();
+    if (text_.empty()) {
+        text_ = std::move(bytes);
     }
     else {
-        pending_ += bytes;
-    }
-    if (!flush_posted_ && !writing_) {
-        flush_posted_ = true;
-        asio::post(socket_.get_executor(), [self = shared_from_this()] { self->flush(); });
+        text_ += bytes;
     }
+    count_bytes();
+    schedule_flush();
 }
 
-void byte_stream::flush()
+void byte_stream::write_shared(const shared_bytes& bytes)
 {
-    flush_posted_ = false;
-    if (!open_ || writing_ || pending_.empty()) {
+    if (bytes.size() <= max_copied_bytes) {
+        write(std::string(bytes.view()));
         return;
     }
-    in_write_ = std::move(pending_);
-    pending_.clear();
-    boost::system::error_code error;
-    written_ = socket_.write_some(asio::buffer(in_write_), error);
-    sent_ += written_;
-    if (error && error != asio::error::would_block && error != asio::error::try_again) {
-        fail(error);
+    if (!open_) {
         return;
     }
-    if (written_ < in_write_.size()) {
-        write_rest();
+    queue_text();
+    unwritten_ += bytes.size();
+    output_.push_back(bytes);
+    schedule_flush();
+}
+
+void byte_stream::queue_text()
+{
+    if (text_.empty()) {
         return;
     }
-    end_write();
+    memory_lease lease(resources_->memory, text_.capacity());
+    output_.emplace_back(std::exchange(text_, {}), std::move(lease));
+    count_bytes();
 }
 
-void byte_stream::end_write()
+void byte_stream::schedule_flush()
 {
-    in_write_.clear();
-    written_ = 0;
-    if (!pending_.empty()) {
-        flush();
+    if (!flush_posted_ && !awaits_room_) {
+        flush_posted_ = true;
+        asio::post(socket_.get_executor(), [self = shared_from_this()] { self->flush(); });
     }
-    else if (close_when_written_) {
-        end_in_order();
+}
+
+void byte_stream::flush()
+{
+    flush_posted_ = false;
+    if (!open_ || awaits_room_) {
+        return;
     }
-    else if (handlers_.written) {
-        handlers_.written();
+    queue_text();
+    while (!output_.empty()) {
+        std::array<asio::const_buffer, max_parts> parts;
+        const auto count = std::min(parts.size(), output_.size());
+        for (std::size_t i = 0; i < count; ++i) {
+            parts[i] = asio::buffer(output_[i].view());
+        }
+        boost::system::error_code error;
+        auto written = socket_.write_some(parts, error);
+        if (error == asio::error::would_block || error == asio::error::try_again) {
+            await_room();
+            return;
+        }
+        if (error) {
+            fail(error);
+            return;
+        }
+        sent_ += written;
+        unwritten_ -= written;
+        while (written > 0 && written >= output_.front().size()) {
+            written -= output_.front().size();
+            output_.pop_front();
+        }
+        if (written > 0) {
+            output_.front() = output_.front().from(written);
+        }
     }
+    end_write();
 }
 
-void byte_stream::write_rest()
+void byte_stream::await_room()
 {
-    writing_ = true;
-    const auto rest = asio::buffer(in_write_) + written_;
-    socket_.async_write_some(rest, [self = shared_from_this()](auto error, std::size_t count) {
-        self->writing_ = false;
+    awaits_room_ = true;
+    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](auto error) {
+        self->awaits_room_ = false;
         if (!self->open_) {
             return;
         }
@@ -214,16 +266,20 @@
             self->fail(error);
             return;
         }
-        self->written_ += count;
-        self->sent_ += count;
-        if (self->written_ < self->in_write_.size()) {
-            self->write_rest();
-            return;
-        }
-        self->end_write();
+        self->flush();
     });
 }
 
+void byte_stream::end_write()
+{
+    if (close_when_written_) {
+        end_in_order();
+    }
+    else if (handlers_.written) {
+        handlers_.written();
+    }
+}
+
 void byte_stream::fail(boost::system::error_code error)
 {
     if (!open_) {
@@ -242,6 +298,7 @@
         return;
     }
     open_ = false;
+    drop_bytes();
     boost::system::error_code ignored; // The peer may have closed it already.
     socket_.shutdown(tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
@@ -249,6 +306,14 @@
     asio::post(socket_.get_executor(), [self = shared_from_this()] { self->handlers_ = {}; });
 }
 
+void byte_stream::drop_bytes()
+{
+    text_ = {};
+    output_.clear();
+    unwritten_ = 0;
+    held_.resize(connection_bytes);
+}
+
 void byte_stream::close_after_writes()
 {
     if (unwritten() == 0) {
@@ -269,7 +334,7 @@
     asio::post(socket_.get_executor(), [self = shared_from_this()] { self->handlers_ = {}; });
     boost::system::error_code ignored; // Cancelling ends the read in progress.
     socket_.cancel(ignored);
-    close_lingering(std::move(socket_));
+    close_lingering(std::move(socket_), resources_);
     if (closed) {
         closed({});
     }
@@ -281,6 +346,7 @@
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     if (open_) {
         open_ = false;
+        drop_bytes();
         socket_.close(ignored);
         asio::post(socket_.get_executor(), [self = shared_from_this()] { self->handlers_ = {}; });
     }
@@ -296,9 +362,16 @@
         close_check_.emplace(socket_.get_executor());
         watch_for_close();
     }
+    count_bytes();
     await_input();
 }
 
+void byte_stream::drop_input()
+{
+    buffer_.consume(buffer_.size());
+    count_bytes();
+}
+
 void byte_stream::watch_for_close()
 {
     close_check_->expires_after(close_check_interval);
@@ -320,6 +393,13 @@
     return !open_ || input_ended_ || trefoil::peer_has_closed(const_cast<tcp::socket&>(socket_));
 }
 
+bool byte_stream::has_unread_input() const
+{
+    char byte = 0;
+    return recv(const_cast<tcp::socket&>(socket_).native_handle(), &byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool byte_stream::has_unexpected_input() const
 {
     char byte = 0;
--- a/libs/relay/src/byte_stream.h
+++ b/libs/relay/src/byte_stream.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "connection_resources.h"
+#include "shared_bytes.h"
+
 #include "call_io/asio.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -7,6 +10,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -16,8 +20,8 @@
 
 /// One TCP connection that always waits for input and never blocks on writes, so that a close by
 /// the peer is detected at once. Owns the buffer of its input: no read into it is ever pending, so
-/// that handlers may consume from it at any time. Must be used from the single thread of its
-/// io_context.
+/// that handlers may consume from it at any time. What it holds counts toward the node's
+/// memory_account. Must be used from the single thread of its io_context.
 class byte_stream : public std::enable_shared_from_this<byte_stream> {
 public:
     struct handlers {
@@ -38,8 +42,8 @@
     /// lossy link.
     static constexpr std::chrono::milliseconds default_unacknowledged{4000};
 
-    explicit byte_stream(tcp::socket socket,
-                         std::chrono::milliseconds unacknowledged = default_unacknowledged);
+    byte_stream(tcp::socket socket, std::shared_ptr<connection_resources> resources,
+                std::chrono::milliseconds unacknowledged = default_unacknowledged);
 
     /// Sets the handlers and starts to read. The connection must be open.
     void start(handlers h);
@@ -55,6 +59,9 @@
     /// Queues bytes. All bytes queued in one iteration of the event loop are written together.
     void write(std::string bytes);
 
+    /// Queues bytes that are shared, without a copy unless they are few.
+    void write_shared(const shared_bytes& bytes);
+
     /// Closes the connection now. No handler is called afterwards.
     void close();
 
@@ -77,7 +84,16 @@
     bool has_unexpected_input() const;
 
     bool is_open() const noexcept { return open_; }
-    std::size_t unwritten() const noexcept { return pending_.size() + in_write_.size() - written_; }
+    std::size_t unwritten() const noexcept { return unwritten_; }
+
+    /// Input that is buffered and not consumed, in bytes.
+    std::size_t unconsumed() const noexcept { return buffer_.size(); }
+
+    /// Drops the input that is buffered and not consumed.
+    void drop_input();
+
+    /// Returns true if there is input that was not read from the connection yet.
+    bool has_unread_input() const;
 
     /// Total number of bytes passed to the kernel.
     std::uint64_t sent() const noexcept { return sent_; }
@@ -89,23 +105,35 @@
     boost::system::error_code read_available();
     /// Passes the buffered input on; an exception of the handler ends the connection.
     void deliver();
+    /// Releases unused memory of the input buffer, and records what it and the output hold.
+    void count_bytes();
     /// Handles the end of the input, which leaves the connection open if `input_ended` is set.
     void end_input(boost::system::error_code error);
     /// Looks for the end of the connection from time to time while reading is paused.
     void watch_for_close();
+    void queue_text();
+    void schedule_flush();
     void flush();
-    void write_rest();
+    void await_room();
     void end_write();
     void end_in_order();
+    /// Releases the output of a connection that has ended.
+    void drop_bytes();
     void fail(boost::system::error_code error);
 
+    std::shared_ptr<connection_resources> resources_;
+    connection_count open_count_;
     tcp::socket socket_;
     std::chrono::milliseconds unacknowledged_;
     boost::beast::flat_buffer buffer_;
+    /// Input, and output that is not shared.
+    memory_lease held_;
     handlers handlers_;
-    std::string pending_;
-    std::string in_write_;
-    std::size_t written_ = 0;
+    /// Output that is not in `output_` yet.
+    std::string text_;
+    std::deque<shared_bytes> output_;
+    /// Bytes in `text_` and `output_`.
+    std::size_t unwritten_ = 0;
     std::uint64_t sent_ = 0;
     /// Set while reading is paused.
     std::optional<asio::steady_timer> close_check_;
@@ -113,7 +141,7 @@
     bool awaits_input_ = false;
     bool paused_ = false;
     bool input_ended_ = false;
-    bool writing_ = false;
+    bool awaits_room_ = false;
     bool flush_posted_ = false;
     bool close_when_written_ = false;
 };
--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -17,6 +17,13 @@
 /// within this time.
 constexpr std::chrono::milliseconds not_ready_retry_after{500};
 
+/// Requests with larger bodies, in bytes, share a limit of their own, so that they leave room for
+/// others.
+constexpr std::size_t small_body = std::size_t{64} << 10U;
+
+/// Divisor of the memory for what requests with small bodies may hold beyond the limit.
+constexpr std::size_t small_reserve_divisor = 16;
+
 refusal_reason reason_of(call_outcome o)
 {
     switch (o) {
@@ -42,14 +49,16 @@
 
 } // namespace
 
-call_forwarder::call_forwarder(asio::io_context& context, deadline_queue& deadlines,
-                               const relay_settings& s, target_directory& targets,
-                               local_target& local, route_levels& levels,
+call_forwarder::call_forwarder(asio::io_context& context,
+                               const std::shared_ptr<connection_resources>& resources,
+                               deadline_queue& deadlines, const relay_settings& s,
+                               target_directory& targets, local_target& local, route_levels& levels,
                                const crash_exchange& crashes, decision_log& log, metrics& counters,
                                peer_link::handlers link_handlers)
-    : deadlines_(deadlines), settings_(s), targets_(targets), local_(local), report_(log, counters),
-      crashes_(crashes), limits_(answer_limits::for_memory(s.memory_bytes)),
-      links_(context, deadlines, s, targets, limits_.max_total_answer_bytes,
+    : deadlines_(deadlines), settings_(s), memory_(resources->memory),
+      accepted_(std::make_shared<memory_account>(s.memory_bytes)), targets_(targets), local_(local),
+      report_(log, counters), crashes_(crashes), limits_(answer_limits::for_memory(s.memory_bytes)),
+      links_(context, resources, deadlines, s, targets, limits_.max_total_answer_bytes,
              std::move(link_handlers)),
       placement_({s.zone, s.inbound.address().to_string()}), levels_(levels),
       random_(std::random_device{}())
@@ -84,6 +93,13 @@
     call->caller = caller;
     call->routes = routes_;
     calls_[caller.get()] = call;
+    call->held = memory_lease(memory_, sizeof(pending_call) + call->request.headers.size() +
+                                           call->request.target.size());
+    if (!has_room_for(call->request)) {
+        refuse(call, refusal_reason::queue_full, memory_retry_delay);
+        return;
+    }
+    call->accepted = memory_lease(accepted_, call->request.body.size());
     if (!routes_) {
         refuse(call, refusal_reason::no_configuration, not_ready_retry_after);
         return;
@@ -123,6 +139,14 @@
     send(call);
 }
 
+bool call_forwarder::has_room_for(const relay_request& request) const
+{
+    if (request.body.size() > small_body) {
+        return accepted_->has_room_for(request.body.size());
+    }
+    return memory_->total() <= memory_->limit() + settings_.memory_bytes / small_reserve_divisor;
+}
+
 mono_time call_forwarder::deadline_of(const relay_request& request, const route& matched)
 {
     auto timeout = matched.timeout;
@@ -140,8 +164,8 @@
 
 content_fingerprints call_forwarder::content_of(const relay_request& request) const
 {
-    return fingerprints_of(
-        {request.method, request.host, request.target, request.body, settings_.service.str()});
+    return fingerprints_of({request.method, request.host, request.target, request.body.view(),
+                            settings_.service.str()});
 }
 
 std::optional<std::chrono::milliseconds> call_forwarder::quarantine_left(pending_call& call) const
--- a/libs/relay/src/call_forwarder.h
+++ b/libs/relay/src/call_forwarder.h
@@ -30,10 +30,14 @@
 /// retries and deadlines.
 class call_forwarder {
 public:
-    call_forwarder(asio::io_context& context, deadline_queue& deadlines, const relay_settings& s,
-                   target_directory& targets, local_target& local, route_levels& levels,
-                   const crash_exchange& crashes, decision_log& log, metrics& counters,
-                   peer_link::handlers link_handlers);
+    call_forwarder(asio::io_context& context,
+                   const std::shared_ptr<connection_resources>& resources,
+                   deadline_queue& deadlines, const relay_settings& s, target_directory& targets,
+                   local_target& local, route_levels& levels, const crash_exchange& crashes,
+                   decision_log& log, metrics& counters, peer_link::handlers link_handlers);
+
+    /// Sets the limit in bytes for the large bodies of all requests in progress.
+    void set_max_accepted_bytes(std::size_t bytes) { accepted_->set_limit(bytes); }
 
     /// Replaces the route table; requests in progress keep the table they started with.
     void set_routes(std::shared_ptr<const route_table> routes);
@@ -65,6 +69,8 @@
     std::optional<std::chrono::milliseconds> quarantine_left(pending_call& call) const;
     bool may_retry(pending_call& call, call_outcome ended);
     static mono_time deadline_of(const relay_request& request, const route& matched);
+    /// Whether the memory suffices to keep the request until it is answered.
+    bool has_room_for(const relay_request& request) const;
     void record_parent(pending_call& call);
     bool admit(const call_ptr& call);
     void send(const call_ptr& call);
@@ -83,6 +89,9 @@
     retry_limiter& limiter_of(const service_name& service);
     deadline_queue& deadlines_;
     const relay_settings& settings_;
+    std::shared_ptr<memory_account> memory_;
+    /// Bodies of the requests in progress.
+    std::shared_ptr<memory_account> accepted_;
     target_directory& targets_;
     local_target& local_;
     call_report report_;
--- a/libs/relay/src/caller_session.cpp
+++ b/libs/relay/src/caller_session.cpp
@@ -8,6 +8,7 @@
 
 #include <gsl/gsl>
 
+#include <algorithm>
 #include <utility>
 
 namespace trefoil {
@@ -19,6 +20,9 @@
 /// Max bytes of later requests that are buffered while one is being answered.
 constexpr std::size_t max_read_ahead = std::size_t{64} * 1024;
 
+/// Max bytes of answers that a caller has not read while its next request is begun.
+constexpr std::size_t max_unread_ahead = std::size_t{64} * 1024;
+
 /// Timeout for a caller that reads nothing of its answer. Longer than any pause that packet loss on
 /// the link explains.
 constexpr std::chrono::seconds unread_timeout{20};
@@ -39,10 +43,11 @@
 
 } // namespace
 
-caller_session::caller_session(tcp::socket socket, const header_dialect& names,
-                               const caller_limits& limits)
-    : stream_(std::make_shared<byte_stream>(std::move(socket), unread_timeout)), names_(names),
-      limits_(limits)
+caller_session::caller_session(tcp::socket socket, std::shared_ptr<connection_resources> resources,
+                               const header_dialect& names, const caller_limits& limits)
+    : resources_(std::move(resources)),
+      stream_(std::make_shared<byte_stream>(std::move(socket), resources_, unread_timeout)),
+      names_(names), limits_(limits), head_(resources_->memory)
 {
 }
 
@@ -57,7 +62,8 @@
                         self->buffer_ = nullptr;
                         self->handlers_.ended(self);
                     },
-                    [self = shared_from_this()] { self->end_departed(); }});
+                    [self = shared_from_this()] { self->end_departed(); },
+                    [self = shared_from_this()] { self->resume(); }});
 }
 
 void caller_session::cancel_current()
@@ -77,7 +83,7 @@
     if (buffer_ != nullptr) {
         buffer_->consume(buffer_->size());
     }
-    parser_.reset();
+    drop_parser();
     cancel_current();
     handlers_.buffered_bytes_changed(shared_from_this());
     stream_->close_after_writes();
@@ -91,17 +97,41 @@
     }
     buffer_ = &buffer;
     last_progress_ = boot_clock::now();
-    if (busy_) {
-        if (buffer.size() > max_read_ahead) {
-            stream_->pause_reading(true);
-        }
+    parse_all(buffer);
+    if (must_wait() && buffer.size() > max_read_ahead) {
+        sends_ahead_ = true;
+        stream_->pause_reading(true);
+    }
+    handlers_.buffered_bytes_changed(shared_from_this());
+}
+
+bool caller_session::must_wait() const
+{
+    return busy_ || stream_->unwritten() > max_unread_ahead;
+}
+
+void caller_session::resume()
+{
+    if (closing_ || must_wait()) {
+        return;
     }
-    else {
-        parse_all(buffer);
+    if (buffer_ != nullptr) {
+        parse_all(*buffer_);
     }
+    stream_->pause_reading(must_wait() && stream_->unconsumed() > max_read_ahead);
     handlers_.buffered_bytes_changed(shared_from_this());
 }
 
+void caller_session::drop_read_ahead()
+{
+    if (busy_ && !closing_) {
+        keep_ = false;
+        sends_ahead_ = true;
+        stream_->drop_input();
+        stream_->pause_reading(true);
+    }
+}
+
 void caller_session::parse_all(boost::beast::flat_buffer& buffer)
 {
     // A request that is answered synchronously must not parse the next one inside its own dispatch:
@@ -110,7 +140,7 @@
         return;
     }
     const auto done = gsl::finally([this] { parsing_ = false; });
-    while (!busy_ && !closing_ && buffer.size() > 0 && parse_one(buffer)) {
+    while (!must_wait() && !closing_ && buffer.size() > 0 && parse_one(buffer)) {
     }
 }
 
@@ -118,12 +148,17 @@
 {
     if (!parser_) {
         parser_.emplace();
+        parser_->get().body() = growing_bytes(resources_->memory);
         parser_->eager(true);
         parser_->header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
         parser_->body_limit(limits_.max_body_bytes);
         continue_sent_ = false;
     }
+    const auto before = buffer.size();
     const auto error = parse_input(*parser_, buffer, limits_.max_header_bytes);
+    if (head_.bytes() == 0 && parser_->is_header_done()) {
+        head_.resize(std::min(before - buffer.size(), limits_.max_header_bytes));
+    }
     if (error && error != http::error::need_more) {
         refuse(error);
         return true;
@@ -139,9 +174,15 @@
     return false;
 }
 
-void caller_session::refuse(const boost::system::error_code& error)
+void caller_session::drop_parser()
 {
     parser_.reset();
+    head_.resize(0);
+}
+
+void caller_session::refuse(const boost::system::error_code& error)
+{
+    drop_parser();
     busy_ = true;
     is_head_ = false;
     answer({status_of(error), {}, parse_error_text(error), {}}, false);
@@ -152,7 +193,7 @@
     if (busy_ || closing_) {
         return;
     }
-    parser_.reset();
+    drop_parser();
     busy_ = true;
     is_head_ = false;
     answer(refusal, false);
@@ -164,14 +205,14 @@
         return 0;
     }
     const auto unparsed = buffer_ != nullptr ? buffer_->size() : 0;
-    const auto parsed = parser_ ? parser_->get().body().size() : 0;
+    const auto parsed = parser_ ? head_.bytes() + parser_->get().body().size() : 0;
     return current_request_bytes_ + parsed + unparsed;
 }
 
 void caller_session::dispatch()
 {
     auto message = parser_->release();
-    parser_.reset();
+    drop_parser();
     busy_ = true;
     keep_ = message.keep_alive();
     is_head_ = message.method() == http::verb::head;
@@ -187,7 +228,7 @@
                        : std::chrono::milliseconds(0);
     request.headers = end_to_end_headers(message, "host", names_.request_id, names_.time_left,
                                          names_.expected_target, names_.caller_service);
-    request.body = std::move(message.body());
+    request.body = message.body().release();
     current_request_bytes_ = request.headers.size() + request.body.size();
     handlers_.request(shared_from_this(), std::move(request));
 }
@@ -204,7 +245,7 @@
     const auto reason = http::obsolete_reason(static_cast<http::status>(answer.status));
     std::string text = "HTTP/1.1 " + std::to_string(answer.status) + ' ' +
                        std::string(reason.data(), reason.size()) + "\r\n";
-    text.reserve(text.size() + answer.headers.size() + answer.body.size() + 64);
+    text.reserve(text.size() + answer.headers.size() + 64);
     text += answer.headers;
     if (is_head_ && !answer.omitted_length.empty()) {
         text += header_line("Content-Length", answer.omitted_length);
@@ -216,10 +257,10 @@
         text += "Connection: close\r\n";
     }
     text += "\r\n";
+    stream_->write(std::move(text));
     if (!is_head_) {
-        text += answer.body;
+        stream_->write_shared(answer.body);
     }
-    stream_->write(std::move(text));
     if (!stays) {
         closing_ = true;
         if (buffer_ != nullptr) {
@@ -229,11 +270,7 @@
         stream_->close_after_writes();
         return;
     }
-    stream_->pause_reading(false);
-    if (buffer_ != nullptr) {
-        parse_all(*buffer_);
-    }
-    handlers_.buffered_bytes_changed(shared_from_this());
+    resume();
 }
 
 void caller_session::check_timeouts(mono_time now)
--- a/libs/relay/src/lingering_close.cpp
+++ b/libs/relay/src/lingering_close.cpp
@@ -19,8 +19,11 @@
 
 class lingering_socket : public std::enable_shared_from_this<lingering_socket> {
 public:
-    explicit lingering_socket(tcp::socket socket)
-        : socket_(std::move(socket)), timer_(socket_.get_executor())
+    lingering_socket(tcp::socket socket, const std::shared_ptr<connection_resources>& resources)
+        : open_count_(resources, &connection_resources::open),
+          lingering_count_(resources, &connection_resources::lingering),
+          held_(resources->memory, sizeof *this), socket_(std::move(socket)),
+          timer_(socket_.get_executor())
     {
     }
 
@@ -54,6 +57,9 @@
         socket_.close(ignored);
     }
 
+    connection_count open_count_;
+    connection_count lingering_count_;
+    memory_lease held_;
     tcp::socket socket_;
     asio::steady_timer timer_;
     std::array<char, 4096> bytes_{};
@@ -62,9 +68,15 @@
 
 } // namespace
 
-void close_lingering(tcp::socket socket)
+void close_lingering(tcp::socket socket, const std::shared_ptr<connection_resources>& resources)
 {
-    std::make_shared<lingering_socket>(std::move(socket))->start();
+    if (resources->lingering < resources->max_lingering) {
+        std::make_shared<lingering_socket>(std::move(socket), resources)->start();
+        return;
+    }
+    boost::system::error_code ignored; // The peer may have closed it already.
+    socket.shutdown(tcp::socket::shutdown_both, ignored);
+    socket.close(ignored);
 }
 
 } // namespace trefoil
--- a/libs/relay/src/local_target.cpp
+++ b/libs/relay/src/local_target.cpp
@@ -28,12 +28,14 @@
 
 } // namespace
 
-local_target::local_target(asio::io_context& context, deadline_queue& deadlines,
-                           tcp::endpoint upstream, const header_dialect& names,
-                           answer_limits limits, const route_levels& levels, decision_log& log,
-                           crash_exchange& crashes)
-    : deadlines_(deadlines), client_(context, deadlines, upstream, names, limits), log_(log),
-      crashes_(crashes), levels_(levels), queue_(initial_slots), slot_limiter_(initial_slots),
+local_target::local_target(asio::io_context& context,
+                           const std::shared_ptr<connection_resources>& resources,
+                           deadline_queue& deadlines, tcp::endpoint upstream,
+                           const header_dialect& names, answer_limits limits,
+                           const route_levels& levels, decision_log& log, crash_exchange& crashes)
+    : deadlines_(deadlines), memory_(resources->memory),
+      client_(context, resources, deadlines, upstream, names, limits), log_(log), crashes_(crashes),
+      levels_(levels), queue_(initial_slots), slot_limiter_(initial_slots),
       runs_(names.id_separator), names_(names), context_(context), upstream_(upstream),
       max_body_bytes_(limits.max_total_body_bytes),
       crash_watch_(context, deadlines, std::move(upstream), crashes),
@@ -60,9 +62,11 @@
     const bool fits = has_room_for(call);
     body_bytes_ += call.body.size();
     const auto content =
-        fingerprints_of({call.method, call.host, call.target, call.body, caller_service});
+        fingerprints_of({call.method, call.host, call.target, call.body.view(), caller_service});
+    const auto head_bytes = call.headers.size() + call.target.size();
     calls_.emplace(ticket, running_call{std::move(call), content, caller_service, std::move(done),
-                                        nullptr, deadline, request_deadline, now});
+                                        nullptr, deadline, request_deadline, now, false,
+                                        memory_lease(memory_, sizeof(running_call) + head_bytes)});
     const bool may_be_cut = drain_ && !drain_->can_finish(deadline);
     if (draining_ || may_be_cut || !fits || crashes_.quarantine_left(content)) {
         refuse(ticket);
@@ -75,7 +79,10 @@
 
 bool local_target::has_room_for(const call_message& call) const
 {
-    return calls_.empty() || body_bytes_ + call.body.size() <= max_body_bytes_;
+    // One request of any permitted size is accepted beside others with small bodies.
+    constexpr std::size_t small_divisor = 8;
+    return body_bytes_ <= max_body_bytes_ / small_divisor ||
+           body_bytes_ + call.body.size() <= max_body_bytes_;
 }
 
 void local_target::advance()
--- a/libs/relay/src/local_target.h
+++ b/libs/relay/src/local_target.h
@@ -36,9 +36,13 @@
 public:
     using answer_handler = std::function<void(answer_message)>;
 
-    local_target(asio::io_context& context, deadline_queue& deadlines, tcp::endpoint upstream,
-                 const header_dialect& names, answer_limits limits, const route_levels& levels,
-                 decision_log& log, crash_exchange& crashes);
+    local_target(asio::io_context& context, const std::shared_ptr<connection_resources>& resources,
+                 deadline_queue& deadlines, tcp::endpoint upstream, const header_dialect& names,
+                 answer_limits limits, const route_levels& levels, decision_log& log,
+                 crash_exchange& crashes);
+
+    /// Sends the requests to the target.
+    const upstream_client& client() const noexcept { return client_; }
 
     /// Path of the target's status check, and a check whether an id may belong to this service.
     /// Both are needed to learn the current id when the target rejects requests for an earlier id.
@@ -96,6 +100,8 @@
         mono_time offered;
         /// The target rejected it once (status 421) because it was sent for another target id.
         bool was_misdirected = false;
+        /// For the head of the request and this object.
+        memory_lease held{};
     };
 
     /// Whether the process has room for the body of one more request.
@@ -118,6 +124,7 @@
     void observe(mono_time now);
 
     deadline_queue& deadlines_;
+    std::shared_ptr<memory_account> memory_;
     upstream_client client_;
     decision_log& log_;
     crash_exchange& crashes_;
--- a/libs/relay/src/node_codec.cpp
+++ b/libs/relay/src/node_codec.cpp
@@ -69,8 +69,8 @@
     }
 }
 
-std::optional<raw_node_message> peek_message(const boost::beast::flat_buffer& buffer,
-                                             std::size_t max_length)
+std::optional<message_head> peek_header(const boost::beast::flat_buffer& buffer,
+                                        std::size_t max_length)
 {
     if (buffer.size() < node_message_header) {
         return std::nullopt;
@@ -80,11 +80,18 @@
     if (length > max_length) {
         throw invalid_node_message("length exceeds the limit: " + std::to_string(length));
     }
-    if (buffer.size() < node_message_header + length) {
+    return message_head{length, static_cast<node_message_kind>(bytes[4])};
+}
+
+std::optional<raw_node_message> peek_message(const boost::beast::flat_buffer& buffer,
+                                             std::size_t max_length)
+{
+    const auto head = peek_header(buffer, max_length);
+    if (!head || buffer.size() < node_message_header + head->length) {
         return std::nullopt;
     }
     const auto* fields = static_cast<const char*>(buffer.data().data()) + node_message_header;
-    return raw_node_message{static_cast<node_message_kind>(bytes[4]), {fields, length}};
+    return raw_node_message{head->kind, {fields, head->length}, {}};
 }
 
 std::size_t size_of(const raw_node_message& message)
@@ -92,14 +99,18 @@
     return node_message_header + message.fields.size();
 }
 
-std::string encode_message(node_message_kind kind, std::string_view fields)
+std::string encode_header(node_message_kind kind, std::size_t length)
 {
     std::string bytes(node_message_header, '\0');
     boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(bytes.data()),
-                                 static_cast<std::uint32_t>(fields.size()));
+                                 static_cast<std::uint32_t>(length));
     bytes[4] = static_cast<char>(kind);
-    bytes.append(fields);
     return bytes;
 }
 
+std::string encode_message(node_message_kind kind, std::string_view fields)
+{
+    return encode_header(kind, fields.size()).append(fields);
+}
+
 } // namespace trefoil
--- a/libs/relay/src/node_codec.h
+++ b/libs/relay/src/node_codec.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "node_message.h"
+#include "shared_bytes.h"
+#include "split_buffer.h"
 
 #include "base/error.h"
 
@@ -22,6 +24,8 @@
 struct raw_node_message {
     node_message_kind kind = node_message_kind::ping;
     std::string_view fields;
+    /// Owns `fields` if the message is large, so that parts of it need no copy.
+    shared_bytes owner{};
 };
 
 /// Size of a message header in bytes: four for the length, one for the kind.
@@ -34,6 +38,17 @@
 /// Maximum size of the first message of a connection in bytes.
 inline constexpr std::size_t max_hello_size = 4096;
 
+/// Length and kind of a message.
+struct message_head {
+    std::size_t length;
+    node_message_kind kind;
+};
+
+/// Returns the head of the first message in the buffer, or nothing if it is not complete. Throws
+/// invalid_node_message if the announced length exceeds `max_length`.
+std::optional<message_head> peek_header(const boost::beast::flat_buffer& buffer,
+                                        std::size_t max_length);
+
 /// Returns the first message in the buffer without consuming it; nullopt if it is incomplete. The
 /// view is valid until the caller consumes `size_of` bytes of the buffer. Throws
 /// invalid_node_message if the announced length exceeds `max_length`.
@@ -63,6 +78,9 @@
 /// Throws invalid_node_message if the outcome, status or admit level is out of range.
 void check_range(const answer_message& answer);
 
+/// Encodes the header of a message whose fields have `length` bytes.
+std::string encode_header(node_message_kind kind, std::size_t length);
+
 /// Encodes a message from its packed fields; without fields by default.
 std::string encode_message(node_message_kind kind, std::string_view fields = {});
 
@@ -74,15 +92,41 @@
     return encode_message(kind, std::string_view(packed.data(), packed.size()));
 }
 
+/// A message whose body is not copied; its parts follow each other.
+struct encoded_message {
+    std::string head;
+    shared_bytes body;
+    std::string tail;
+};
+
+/// Encodes a message that has a body.
+template<class Fields>
+encoded_message encode_with_body(node_message_kind kind, const Fields& fields)
+{
+    split_buffer packed(fields.body.view());
+    msgpack::pack(packed, fields);
+    encoded_message message{encode_header(kind, packed.size()), fields.body, packed.tail()};
+    message.head += packed.head();
+    return message;
+}
+
 /// Decodes the fields of a message. Throws invalid_node_message if they do not match the type.
 template<class Fields>
 Fields decode_fields(const raw_node_message& message)
 {
     check_shape(message.fields);
     try {
-        return msgpack::unpack(message.fields.data(), message.fields.size())
-            .get()
-            .template as<Fields>();
+        // Strings refer to the message and are copied once, or not at all.
+        const auto refer = [](msgpack::type::object_type, std::size_t, void*) { return true; };
+        auto fields = msgpack::unpack(message.fields.data(), message.fields.size(), refer)
+                          .get()
+                          .template as<Fields>();
+        if constexpr (requires { fields.body; }) {
+            const auto body = fields.body.view();
+            fields.body = message.owner.is_owner() ? message.owner.part(body)
+                                                   : shared_bytes(std::string(body));
+        }
+        return fields;
     }
     catch (const msgpack::unpack_error& e) {
         throw invalid_node_message(e.what());
--- a/libs/relay/src/node_links.cpp
+++ b/libs/relay/src/node_links.cpp
@@ -52,8 +52,8 @@
     };
     const tcp::endpoint peer(asio::ip::make_address(address), settings_.inbound.port());
     auto link = std::make_shared<peer_link>(
-        context_, deadlines_, peer, hello_message{settings_.vm.str(), settings_.service.str()},
-        std::move(handlers));
+        context_, resources_, deadlines_, peer,
+        hello_message{settings_.vm.str(), settings_.service.str()}, std::move(handlers));
     by_number_[number] = link;
     return link;
 }
@@ -64,10 +64,10 @@
     while (const auto largest = buffered_bytes_.holder_to_close()) {
         buffered_bytes_.set(*largest, 0);
         if (const auto link = by_number_[*largest].lock()) {
-            log_event("peer_cut")
+            log_event("peer_answer_dropped")
                 .add("reason", "total size of buffered answers exceeds the memory limit")
                 .warning();
-            link->abort();
+            link->drop_partial();
         }
     }
 }
--- a/libs/relay/src/node_message.h
+++ b/libs/relay/src/node_message.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "shared_bytes.h"
+
 #include "spread/state_version.h"
 
 #include <algorithm>
@@ -102,7 +104,7 @@
     std::string target;
     std::string host;
     std::string headers;
-    std::string body;
+    shared_bytes body;
     /// Send time by the sender's clock, in milliseconds.
     std::uint64_t sent_ms = 0;
     wire_state_version version;
@@ -130,7 +132,7 @@
     std::uint8_t outcome = 0;
     std::uint32_t status = 0;
     std::string headers;
-    std::string body;
+    shared_bytes body;
     std::string omitted_length;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
--- a/libs/relay/src/peer_link.cpp
+++ b/libs/relay/src/peer_link.cpp
@@ -44,16 +44,17 @@
 
 } // namespace
 
-peer_link::peer_link(asio::io_context& context, deadline_queue& deadlines, tcp::endpoint peer,
-                     hello_message hello, handlers h)
+peer_link::peer_link(asio::io_context& context, std::shared_ptr<connection_resources> resources,
+                     deadline_queue& deadlines, tcp::endpoint peer, hello_message hello, handlers h)
     : context_(context), deadlines_(deadlines), peer_(std::move(peer)), hello_(std::move(hello)),
-      handlers_(std::move(h))
+      handlers_(std::move(h)), resources_(std::move(resources)), reader_(resources_->memory)
 {
 }
 
 void peer_link::open()
 {
-    stream_ = std::make_shared<byte_stream>(tcp::socket(context_));
+    stream_ = std::make_shared<byte_stream>(tcp::socket(context_), resources_);
+    reader_ = message_reader(resources_->memory);
     opened_ = boot_clock::now();
     last_received_ = opened_;
     const std::weak_ptr<peer_link> weak = weak_from_this();
@@ -120,7 +121,10 @@
     call.time_left_ms -= std::min(call.time_left_ms, waited);
     call.sent_ms = now;
     call.version = wire_state_version(handlers_.state.own_version());
-    stream_->write(encode_message(node_message_kind::call, call));
+    auto message = encode_with_body(node_message_kind::call, call);
+    stream_->write(std::move(message.head));
+    stream_->write_shared(message.body);
+    stream_->write(std::move(message.tail));
 }
 
 std::uint32_t peer_link::send(call_message call, peer_answer_handler done)
@@ -182,10 +186,10 @@
     // A handler may release the last other reference to this link.
     const auto self = shared_from_this();
     try {
-        take_messages(
+        reader_.take(
             buffer, [] { return max_message_size; },
             [this](const raw_node_message& message) { handle(message); });
-        handlers_.buffered_bytes_changed(buffer.size());
+        handlers_.buffered_bytes_changed(buffer.size() + reader_.partial_bytes());
     }
     catch (const invalid_node_message& e) {
         log_event("peer_message_invalid").add("peer", peer_).add("detail", e.what()).warning();
@@ -193,6 +197,26 @@
     }
 }
 
+void peer_link::drop_partial()
+{
+    const auto dropped = reader_.drop_partial();
+    if (!dropped || dropped->kind != node_message_kind::answer) {
+        on_lost();
+        return;
+    }
+    fail(dropped->stream, call_outcome::no_response);
+}
+
+void peer_link::fail(std::uint32_t stream, call_outcome outcome)
+{
+    const auto it = waiting_.find(stream);
+    if (it != waiting_.end()) {
+        const auto done = std::move(it->second.done);
+        waiting_.erase(it);
+        done(failure(outcome));
+    }
+}
+
 answer_message peer_link::checked(answer_message answer) const
 {
     try {
--- a/libs/relay/src/peer_link.h
+++ b/libs/relay/src/peer_link.h
@@ -2,6 +2,7 @@
 
 #include "byte_stream.h"
 #include "deadline_queue.h"
+#include "message_reader.h"
 #include "node_message.h"
 #include "request_stage.h"
 #include "state_handlers.h"
@@ -41,8 +42,8 @@
         std::function<void()> unresponsive;
     };
 
-    peer_link(asio::io_context& context, deadline_queue& deadlines, tcp::endpoint peer,
-              hello_message hello, handlers h);
+    peer_link(asio::io_context& context, std::shared_ptr<connection_resources> resources,
+              deadline_queue& deadlines, tcp::endpoint peer, hello_message hello, handlers h);
 
     /// Sends a request. `done` runs once unless the request is cancelled first. Returns the number
     /// with which to cancel it.
@@ -70,6 +71,13 @@
 
     void close();
 
+    /// Bytes of the large message that is being read.
+    std::size_t partial_bytes() const noexcept { return reader_.partial_bytes(); }
+
+    /// Drops the answer that is being read; its request is reported as no_response. Aborts the
+    /// connection if what is being read is no answer.
+    void drop_partial();
+
     /// Aborts the connection; its requests are reported as no_response or unreachable.
     void abort() { on_lost(); }
 
@@ -86,6 +94,8 @@
     /// Returns the answer, or a failure in its place if its values are out of range: an invalid
     /// answer must not end the other requests on the connection.
     answer_message checked(answer_message answer) const;
+    /// Ends a request with an outcome that stands for its answer.
+    void fail(std::uint32_t stream, call_outcome outcome);
     void on_lost();
     void on_unresponsive();
     void check();
@@ -96,7 +106,9 @@
     tcp::endpoint peer_;
     hello_message hello_;
     handlers handlers_;
+    std::shared_ptr<connection_resources> resources_;
     std::shared_ptr<byte_stream> stream_;
+    message_reader reader_;
     struct waiting_call {
         peer_answer_handler done;
         bool idempotent = false;
--- a/libs/relay/src/peer_session.cpp
+++ b/libs/relay/src/peer_session.cpp
@@ -3,14 +3,17 @@
 #include "node_codec.h"
 
 #include "base/log_event.h"
+#include "dispatch/call_outcome.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace trefoil {
 
-peer_session::peer_session(tcp::socket socket)
-    : stream_(std::make_shared<byte_stream>(std::move(socket)))
+peer_session::peer_session(tcp::socket socket,
+                           const std::shared_ptr<connection_resources>& resources)
+    : stream_(std::make_shared<byte_stream>(std::move(socket), resources)),
+      reader_(resources->memory)
 {
 }
 
@@ -30,13 +33,14 @@
         const auto max_length = [this] {
             return hello_received_ ? max_message_size : max_hello_size;
         };
-        take_messages(buffer, max_length,
-                      [this](const raw_node_message& message) { handle(message); });
+        reader_.take(buffer, max_length,
+                     [this](const raw_node_message& message) { handle(message); });
         if (std::exchange(has_new_calls_, false) && stream_->peer_has_closed()) {
             close(); // Nobody receives the answers.
             return;
         }
-        handlers_.buffered_bytes_changed(shared_from_this(), buffer.size());
+        handlers_.buffered_bytes_changed(shared_from_this(),
+                                         buffer.size() + reader_.partial_bytes());
     }
     catch (const invalid_node_message& e) {
         log_event("peer_message_invalid").add("detail", e.what()).warning();
@@ -110,11 +114,32 @@
 void peer_session::answer(answer_message answer)
 {
     if (tickets_.erase(answer.stream) != 0) {
-        answer.version = wire_state_version(handlers_.state.own_version());
-        stream_->write(encode_message(node_message_kind::answer, answer));
+        write(std::move(answer));
     }
 }
 
+void peer_session::write(answer_message answer)
+{
+    answer.version = wire_state_version(handlers_.state.own_version());
+    auto message = encode_with_body(node_message_kind::answer, answer);
+    stream_->write(std::move(message.head));
+    stream_->write_shared(message.body);
+    stream_->write(std::move(message.tail));
+}
+
+void peer_session::drop_partial()
+{
+    const auto dropped = reader_.drop_partial();
+    if (!dropped || dropped->kind != node_message_kind::call) {
+        close();
+        return;
+    }
+    answer_message rejected;
+    rejected.stream = dropped->stream;
+    rejected.outcome = static_cast<std::uint8_t>(call_outcome::rejected);
+    write(std::move(rejected));
+}
+
 void peer_session::send_leaving()
 {
     if (!std::exchange(leaving_sent_, true)) {
--- a/libs/relay/src/peer_session.h
+++ b/libs/relay/src/peer_session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "byte_stream.h"
+#include "message_reader.h"
 #include "node_message.h"
 #include "state_handlers.h"
 
@@ -37,7 +38,7 @@
         std::function<void(const std::shared_ptr<peer_session>&)> ended;
     };
 
-    explicit peer_session(tcp::socket socket);
+    peer_session(tcp::socket socket, const std::shared_ptr<connection_resources>& resources);
 
     void start(handlers h);
 
@@ -53,15 +54,24 @@
     /// Closes the connection and cancels the requests on it.
     void close();
 
+    /// Rejects the request that is being read, which has not run, and drops the rest of it. Closes
+    /// the connection if what is being read is no request.
+    void drop_partial();
+
+    /// Bytes of the large message that is being read.
+    std::size_t partial_bytes() const noexcept { return reader_.partial_bytes(); }
+
     /// Number of bytes buffered for the peer that are not yet written.
     std::size_t unwritten_bytes() const { return stream_->unwritten(); }
 
 private:
     void on_data(boost::beast::flat_buffer& buffer);
     void handle(const struct raw_node_message& message);
+    void write(answer_message answer);
     void on_ended();
 
     std::shared_ptr<byte_stream> stream_;
+    message_reader reader_;
     handlers handlers_;
     std::string caller_service_;
     transit_delay delay_;
--- a/libs/relay/src/pending_call.h
+++ b/libs/relay/src/pending_call.h
@@ -6,6 +6,7 @@
 #include "relay_call.h"
 
 #include "dispatch/entry_admission.h"
+#include "dispatch/memory_account.h"
 #include "dispatch/retry_rule.h"
 #include "dispatch/route_table.h"
 #include "dispatch/target_state.h"
@@ -47,6 +48,10 @@
     bool finished = false;
     /// Set if the request was rejected, or not sent again, because of its content.
     std::optional<content_fingerprint> content;
+    /// For the head of the request and this object.
+    memory_lease held;
+    /// For the body, while the request is in progress.
+    memory_lease accepted;
 };
 
 /// Time until the latency objective of the request's route; negative once it has passed.
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -3,6 +3,7 @@
 #include "acceptor.h"
 #include "call_forwarder.h"
 #include "caller_session.h"
+#include "connection_guard.h"
 #include "crash_exchange.h"
 #include "deadline_queue.h"
 #include "http_text.h"
@@ -20,6 +21,8 @@
 #include <set>
 #include <utility>
 
+#include <malloc.h>
+
 namespace trefoil {
 
 namespace {
@@ -77,28 +80,62 @@
 /// request exists twice in memory while it is forwarded.
 constexpr std::size_t partial_requests_divisor = 8;
 
-/// Retry delay sent for a request that does not fit into the memory limit. The bodies that use the
-/// memory are read completely or abandoned within their callers' timeouts, which are seconds.
-constexpr std::chrono::milliseconds memory_retry_delay{1000};
+/// Divisor of the memory for the limit of all bytes that the process holds for its connections. The
+/// rest is for the program, its state and what the allocator cannot reuse.
+constexpr std::size_t held_divisor = 2;
+
+/// Divisor of the memory for what the largest permitted request leaves of that limit to others.
+constexpr std::size_t held_reserve_divisor = 16;
+
+/// Divisor of the memory for the limit of large bodies of requests in progress, as a multiple.
+constexpr std::size_t accepted_multiple = 3;
+constexpr std::size_t accepted_divisor = 8;
+
+/// Divisor of the number of connections for those that only wait for the peer to close them.
+constexpr std::size_t lingering_divisor = 8;
+
+/// Lets the allocator return large buffers to the system as soon as they are freed. By default
+/// glibc keeps up to 64 MiB of them, which the account of the node does not see.
+void return_freed_memory()
+{
+    constexpr int large_block_bytes = 128 * 1024;
+    mallopt(M_MMAP_THRESHOLD, large_block_bytes);
+    mallopt(M_TRIM_THRESHOLD, large_block_bytes);
+}
+
+std::shared_ptr<connection_resources> resources_for(const relay_settings& s)
+{
+    auto resources = std::make_shared<connection_resources>();
+    resources->memory = std::make_shared<memory_account>(s.memory_bytes / held_divisor);
+    resources->max_lingering = s.max_connections / lingering_divisor;
+    return resources;
+}
 
 } // namespace
 
 class relay_node::impl {
 public:
     impl(asio::io_context& c, relay_settings s)
-        : context(c), settings(std::move(s)), deadlines(c), crashes(deadlines, crash_callbacks()),
-          local(c, deadlines, settings.upstream, settings.headers,
+        : context(c), settings(std::move(s)), resources(resources_for(settings)), deadlines(c),
+          crashes(deadlines, crash_callbacks()),
+          local(c, resources, deadlines, settings.upstream, settings.headers,
                 answer_limits::for_memory(settings.memory_bytes), levels, log, crashes),
-          forwarder(c, deadlines, settings, targets, local, levels, crashes, log, counters,
-                    link_handlers()),
+          forwarder(c, resources, deadlines, settings, targets, local, levels, crashes, log,
+                    counters, link_handlers()),
           outbound(c, settings.outbound,
                    [this](tcp::socket socket) { accept_caller(std::move(socket)); }),
           inbound(c, settings.inbound,
                   [this](tcp::socket socket) { accept_peer(std::move(socket)); }),
           ready(c, settings.ready, [this](tcp::socket socket) { accept_probe(std::move(socket)); })
     {
+        return_freed_memory();
+        resources->enforce = [this] { guard.enforce_memory(); };
     }
 
+    ~impl() { resources->enforce = nullptr; }
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+
     peer_link::handlers link_handlers()
     {
         return {[] {}, exchange_handlers(), content_handler(), [](std::size_t) {}, [] {}};
@@ -128,9 +165,14 @@
 
     void accept_caller(tcp::socket socket)
     {
-        const auto session =
-            std::make_shared<caller_session>(std::move(socket), settings.headers, limits);
+        const auto session = std::make_shared<caller_session>(std::move(socket), resources,
+                                                              settings.headers, limits);
         callers.add(session);
+        if (!guard.admit(session, local.load().limit)) {
+            callers.remove(session);
+            session->close();
+            return;
+        }
         session->start({// NOLINTNEXTLINE(performance-unnecessary-value-param)
                         [this](const auto& s, relay_request request) {
                             if (rejects_new(request)) {
@@ -149,19 +191,30 @@
                         [this](const auto& s) { callers.remove(s); }});
     }
 
-    /// Sets the memory limit for requests. The largest request that a caller may send is accepted
+    /// Sets the memory limits for requests. The largest request that a caller may send is accepted
     /// even if the memory is small.
     void bound_requests()
     {
-        callers.set_max_partial_bytes(std::max(settings.memory_bytes / partial_requests_divisor,
-                                               limits.max_header_bytes + limits.max_body_bytes));
+        const auto largest = limits.max_header_bytes + limits.max_body_bytes;
+        const auto memory = settings.memory_bytes;
+        const auto largest_read = largest + memory / held_reserve_divisor;
+        callers.set_max_partial_bytes(std::max(memory / partial_requests_divisor, largest_read));
+        peers.set_max_partial_bytes(std::max(memory / partial_requests_divisor, largest_read));
+        forwarder.set_max_accepted_bytes(
+            std::max(memory / accepted_divisor * accepted_multiple, largest));
+        resources->memory->set_limit(std::max(memory / held_divisor, largest_read));
     }
 
     void accept_probe(tcp::socket socket)
     {
-        const auto session =
-            std::make_shared<caller_session>(std::move(socket), settings.headers, limits);
+        const auto session = std::make_shared<caller_session>(std::move(socket), resources,
+                                                              settings.headers, limits);
         probes.insert(session);
+        if (!guard.admit(session, local.load().limit)) {
+            probes.erase(session);
+            session->close();
+            return;
+        }
         session->start({[this](const auto& s, const relay_request& request) {
                             s->answer(page(request.target), true);
                         },
@@ -184,6 +237,8 @@
             counters.set("trefoil_targets_known", static_cast<double>(targets.size()));
             counters.set("trefoil_crash_contents_known", static_cast<double>(crashes.known()));
             counters.set("trefoil_crash_contents_suspect", static_cast<double>(crashes.suspects()));
+            counters.set("trefoil_held_bytes", static_cast<double>(resources->memory->total()));
+            counters.set("trefoil_open_connections", static_cast<double>(resources->open));
             counters.set("trefoil_log_lines_dropped", static_cast<double>(log.dropped()));
             return {200U, header_line("Content-Type", "text/plain"), counters.text(), {}};
         }
@@ -192,7 +247,7 @@
 
     void accept_peer(tcp::socket socket)
     {
-        const auto session = std::make_shared<peer_session>(std::move(socket));
+        const auto session = std::make_shared<peer_session>(std::move(socket), resources);
         peers.add(session);
         session->start({// The call is moved on, which clang-tidy 14 does not see.
                         // NOLINTNEXTLINE(performance-unnecessary-value-param)
@@ -291,8 +346,11 @@
                 .warning();
         }
         callers.for_each([now](const auto& session) { session->check_timeouts(now); });
-        callers.bound_unread();
-        peers.bound_unread();
+        const auto open_probes = probes;
+        std::ranges::for_each(open_probes,
+                              [now](const auto& session) { session->check_timeouts(now); });
+        guard.check_soon();
+        guard.enforce_memory();
         for (const auto& id : targets.expire(now)) {
             log_event("target_dropped").add("target", id).add("reason", "not confirmed").info();
         }
@@ -335,6 +393,7 @@
 
     asio::io_context& context;
     const relay_settings settings;
+    const std::shared_ptr<connection_resources> resources;
     caller_limits limits;
     deadline_queue deadlines;
     decision_log log;
@@ -353,7 +412,10 @@
     session_set<peer_session> peers{{settings.memory_bytes / partial_requests_divisor,
                                      settings.memory_bytes / buffered_answers_divisor,
                                      "peer_closed"},
-                                    [](auto& session) { session.close(); }};
+                                    [](auto& session) { session.drop_partial(); }};
+    connection_guard guard{*resources,
+                           {callers, peers, probes, local.client(), forwarder.links()},
+                           {settings.memory_bytes, settings.max_connections}};
     acceptor outbound;
     acceptor inbound;
     acceptor ready;
--- a/libs/relay/src/session_set.h
+++ b/libs/relay/src/session_set.h
@@ -2,15 +2,18 @@
 
 #include "base/log_event.h"
 #include "dispatch/byte_account.h"
+#include "dispatch/memory_relief.h"
 
 #include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <numeric>
 #include <set>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace trefoil {
 
@@ -69,38 +72,49 @@
         }
         partial_bytes_.set(number->second, bytes, may_release);
         while (const auto largest = partial_bytes_.holder_to_close()) {
-            const auto found = by_number_.at(*largest)->shared_from_this();
-            log_event(options_.event)
-                .add("reason", "unfinished messages")
-                .add("bytes", partial_bytes_.total())
-                .warning();
-            partial_bytes_.set(*largest, 0);
-            release_(*found);
+            release(*by_number_.at(*largest));
         }
     }
 
-    /// Closes the connection with the most unread bytes if the total exceeds the limit.
-    void bound_unread()
+    /// Frees the memory of a session's partially read message.
+    void release(Session& session)
     {
-        std::size_t unread = 0;
-        for (const auto& session : sessions_) {
-            unread += session->unwritten_bytes();
-        }
-        if (unread <= options_.max_unread_bytes) {
+        const auto number = numbers_.find(&session);
+        if (number == numbers_.end()) {
             return;
         }
-        const auto slowest =
-            *std::max_element(sessions_.begin(), sessions_.end(), [](const auto& a, const auto& b) {
-                return a->unwritten_bytes() < b->unwritten_bytes();
-            });
         log_event(options_.event)
-            .add("reason", "unread answers")
-            .add("bytes", slowest->unwritten_bytes())
+            .add("reason", "unfinished messages")
+            .add("bytes", partial_bytes_.total())
             .warning();
-        remove(slowest);
-        slowest->close();
+        partial_bytes_.set(number->second, 0);
+        const auto kept = session.shared_from_this();
+        release_(*kept);
     }
 
+    /// Closes the connections with the most unread bytes while the total exceeds the limit.
+    void bound_unread()
+    {
+        const std::vector<session_ptr> open(sessions_.begin(), sessions_.end());
+        std::vector<std::size_t> unread(open.size());
+        std::ranges::transform(open, unread.begin(),
+                               [](const auto& s) { return s->unwritten_bytes(); });
+        const auto total = std::accumulate(unread.begin(), unread.end(), std::size_t{0});
+        if (total <= options_.max_unread_bytes) {
+            return;
+        }
+        for (const auto i : holdings_to_free(unread, total - options_.max_unread_bytes)) {
+            log_event(options_.event)
+                .add("reason", "unread answers")
+                .add("bytes", unread[i])
+                .warning();
+            remove(open[i]);
+            open[i]->close();
+        }
+    }
+
+    std::size_t size() const noexcept { return sessions_.size(); }
+
     /// True if an answer has not been read completely by the other side.
     bool has_unread() const
     {
--- a/libs/relay/src/upstream_client.cpp
+++ b/libs/relay/src/upstream_client.cpp
@@ -19,11 +19,13 @@
     }
 }
 
-upstream_client::upstream_client(asio::io_context& context, deadline_queue& deadlines,
-                                 tcp::endpoint target, const header_dialect& names,
-                                 answer_limits limits)
-    : context_(context), deadlines_(deadlines), target_(std::move(target)), names_(names),
-      limits_(limits), held_(limits.max_total_answer_bytes)
+upstream_client::upstream_client(asio::io_context& context,
+                                 std::shared_ptr<connection_resources> resources,
+                                 deadline_queue& deadlines, tcp::endpoint target,
+                                 const header_dialect& names, answer_limits limits)
+    : context_(context), resources_(std::move(resources)), deadlines_(deadlines),
+      target_(std::move(target)), names_(names), limits_(limits),
+      held_(limits.max_total_answer_bytes)
 {
 }
 
--- a/libs/relay/src/upstream_client.h
+++ b/libs/relay/src/upstream_client.h
@@ -24,7 +24,7 @@
     std::string target;
     std::string host;
     std::string headers;
-    std::string body;
+    shared_bytes body;
     std::string target_id;
     std::string caller_service;
     bool idempotent = false;
@@ -55,8 +55,18 @@
 public:
     using result_handler = std::function<void(upstream_result)>;
 
-    upstream_client(asio::io_context& context, deadline_queue& deadlines, tcp::endpoint target,
-                    const header_dialect& names, answer_limits limits);
+    upstream_client(asio::io_context& context, std::shared_ptr<connection_resources> resources,
+                    deadline_queue& deadlines, tcp::endpoint target, const header_dialect& names,
+                    answer_limits limits);
+
+    /// Passes each exchange that has read part of its answer to the function, with its bytes.
+    template<class Function>
+    void for_each_partial(Function function) const
+    {
+        for (const auto& [number, exchange] : holders_) {
+            function(*exchange, held_.bytes_of(number));
+        }
+    }
 
     /// Starts a request; `done` runs once unless it is cancelled. Returns a handle for `cancel`.
     std::shared_ptr<class upstream_exchange> start(const upstream_request& request,
@@ -92,6 +102,7 @@
     void keep(std::shared_ptr<byte_stream> stream, std::chrono::milliseconds usable);
 
     asio::io_context& context_;
+    std::shared_ptr<connection_resources> resources_;
     deadline_queue& deadlines_;
     tcp::endpoint target_;
     const header_dialect& names_;
--- a/libs/relay/src/upstream_exchange.cpp
+++ b/libs/relay/src/upstream_exchange.cpp
@@ -72,6 +72,7 @@
 void upstream_exchange::new_parser()
 {
     parser_.emplace();
+    parser_->get().body() = growing_bytes(client_.resources_->memory);
     parser_->eager(true);
     parser_->header_limit(max_framing_bytes);
     parser_->body_limit(answer_limit_);
@@ -86,13 +87,13 @@
             [self = shared_from_this()](auto error) { self->on_closed(error); }};
 }
 
-std::string upstream_exchange::request_text(const upstream_request& request) const
+void upstream_exchange::write(const upstream_request& request)
 {
     const auto& names = client_.names_;
     const auto left =
         std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - boot_clock::now());
     std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\n";
-    text.reserve(text.size() + request.headers.size() + request.body.size() + 256);
+    text.reserve(text.size() + request.headers.size() + 256);
     text += header_line("Host", request.host);
     text += header_line(names.request_id, request.id);
     text += header_line(names.time_left, std::to_string(std::max<std::int64_t>(1, left.count())));
@@ -105,8 +106,8 @@
         text += header_line("Content-Length", std::to_string(request.body.size()));
     }
     text += "\r\n";
-    text += request.body;
-    return text;
+    stream_->write(std::move(text));
+    stream_->write_shared(request.body);
 }
 
 void upstream_exchange::start(const upstream_request& request, std::shared_ptr<byte_stream> reused)
@@ -122,10 +123,10 @@
         stream_ = std::move(reused);
         stream_->set_handlers(stream_handlers());
         sent_before_ = stream_->sent();
-        stream_->write(request_text(request));
+        write(request);
         return;
     }
-    stream_ = std::make_shared<byte_stream>(tcp::socket(client_.context_));
+    stream_ = std::make_shared<byte_stream>(tcp::socket(client_.context_), client_.resources_);
     stream_->connect(client_.target_, stream_handlers(),
                      [self = shared_from_this(), request](auto error) {
                          if (!self->done_) {
@@ -137,7 +138,7 @@
                              self->finish(std::move(result));
                              return;
                          }
-                         self->stream_->write(self->request_text(request));
+                         self->write(request);
                      });
 }
 
@@ -156,7 +157,7 @@
             return;
         }
         if (!parser_->is_done()) {
-            client_.record_buffered_bytes(*this, parser_->get().body().capacity());
+            client_.record_buffered_bytes(*this, parser_->get().body().size());
             return;
         }
         on_message(buffer);
@@ -164,7 +165,7 @@
 }
 
 upstream_exchange::owner
-upstream_exchange::owner_of(const http::response<http::string_body>& message) const
+upstream_exchange::owner_of(const http::response<counted_body>& message) const
 {
     const auto answered = find_header(message, client_.names_.request_id);
     if (answered) {
@@ -227,7 +228,7 @@
     finish(std::move(result));
 }
 
-upstream_result upstream_exchange::result_of(http::response<http::string_body> message)
+upstream_result upstream_exchange::result_of(http::response<counted_body> message)
 {
     const auto& names = client_.names_;
     upstream_result result;
@@ -257,7 +258,7 @@
     if (is_head_) {
         result.answer.omitted_length = std::string(message[http::field::content_length]);
     }
-    result.answer.body = std::move(message.body());
+    result.answer.body = message.body().release();
     return result;
 }
 
--- a/libs/relay/src/upstream_exchange.h
+++ b/libs/relay/src/upstream_exchange.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "counted_body.h"
 #include "request_stage.h"
 #include "upstream_client.h"
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <memory>
 #include <optional>
@@ -34,10 +34,11 @@
     void abort_for_memory();
 
 private:
-    using response_parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using response_parser = boost::beast::http::response_parser<counted_body>;
 
     byte_stream::handlers stream_handlers();
-    std::string request_text(const upstream_request& request) const;
+    /// Writes the request to the connection.
+    void write(const upstream_request& request);
     void on_data(boost::beast::flat_buffer& buffer);
     void on_closed(boost::system::error_code error);
     void on_deadline();
@@ -46,16 +47,14 @@
     /// failure without an id belongs to this request if the connection carried no other; on a
     /// reused connection it may be a late copy of an earlier answer.
     enum class owner : std::uint8_t { this_request, other_request, unknown };
-    owner
-    owner_of(const boost::beast::http::response<boost::beast::http::string_body>& message) const;
+    owner owner_of(const boost::beast::http::response<counted_body>& message) const;
     /// Goes on to the next answer on the connection, unless too many were skipped.
     void skip_answer();
     void finish_invalid(const std::string& detail);
     void on_message(boost::beast::flat_buffer& buffer);
     void finish(upstream_result result);
     void finish_lost();
-    upstream_result
-    result_of(boost::beast::http::response<boost::beast::http::string_body> message);
+    upstream_result result_of(boost::beast::http::response<counted_body> message);
 
     upstream_client& client_;
     upstream_client::result_handler done_;
