Remove the deadline of a request when it ends

Callers saw: a few clients that send small requests in quick succession end a process for its memory.

Cause: deadlines could not be removed from deadline_queue. Each request left two entries, at the entry node and at the node beside the target, and their weak references kept the memory of the request's objects, about 0.8 KB, until the deadline, which the operator sets. Ruled out: the log, the metrics and the target's connections, whose number does not grow with the requests; and the account of bytes, which counted the buffers and not these objects.

deadline_queue::at now returns an entry that cancel removes; call_forwarder and upstream_exchange cancel theirs when the request ends. Nothing else ran at these deadlines.

--- a/libs/relay/src/call_forwarder.cpp
+++ b/libs/relay/src/call_forwarder.cpp
@@ -130,12 +130,13 @@
     else {
         limiter.record_request(call->request.arrived);
     }
-    deadlines_.at(call->deadline + deadline_slack, [this, weak = std::weak_ptr(call)] {
-        const auto pending = weak.lock();
-        if (pending && !pending->finished) {
-            on_deadline(pending);
-        }
-    });
+    call->expiry =
+        deadlines_.at(call->deadline + deadline_slack, [this, weak = std::weak_ptr(call)] {
+            const auto pending = weak.lock();
+            if (pending && !pending->finished) {
+                on_deadline(pending);
+            }
+        });
     send(call);
 }
 
@@ -359,6 +360,7 @@
     const auto call = it->second;
     calls_.erase(it);
     call->finished = true;
+    deadlines_.cancel(call->expiry);
     report_.record_departure(*call, cancel_attempt(*call), level_of(*call));
 }
 
@@ -388,6 +390,7 @@
 void call_forwarder::finish(const call_ptr& call, relay_answer answer)
 {
     call->finished = true;
+    deadlines_.cancel(call->expiry);
     const auto caller = call->caller.lock();
     if (!caller) {
         return;
--- a/libs/relay/src/deadline_queue.cpp
+++ b/libs/relay/src/deadline_queue.cpp
@@ -1,6 +1,7 @@
 #include "deadline_queue.h"
 
 #include <chrono>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -13,18 +14,20 @@
 
 } // namespace
 
-void deadline_queue::at(mono_time when, std::function<void()> action)
+deadline_queue::entry deadline_queue::at(mono_time when, std::function<void()> action)
 {
-    actions_.emplace(when, std::move(action));
+    const entry scheduled{when, ++last_number_};
+    actions_.emplace(scheduled, std::move(action));
     arm();
+    return scheduled;
 }
 
 void deadline_queue::arm()
 {
-    if (actions_.empty() || actions_.begin()->first + granularity >= armed_for_) {
+    if (actions_.empty() || actions_.begin()->first.when + granularity >= armed_for_) {
         return;
     }
-    armed_for_ = actions_.begin()->first;
+    armed_for_ = actions_.begin()->first.when;
     timer_.expires_after(armed_for_ - boot_clock::now() + granularity);
     timer_.async_wait([this](auto error) {
         if (!error) {
@@ -40,7 +43,7 @@
     // Due actions are removed before any runs, since an action may add one that is already due;
     // that one runs at the next expiry of the timer.
     std::vector<std::function<void()>> due;
-    const auto end = actions_.upper_bound(now);
+    const auto end = actions_.upper_bound({now, std::numeric_limits<std::uint64_t>::max()});
     for (auto it = actions_.begin(); it != end; ++it) {
         due.push_back(std::move(it->second));
     }
--- a/libs/relay/src/pending_call.h
+++ b/libs/relay/src/pending_call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "caller_session.h"
+#include "deadline_queue.h"
 #include "node_message.h"
 #include "peer_link.h"
 #include "relay_call.h"
@@ -48,6 +49,8 @@
     bool finished = false;
     /// Set if the request was rejected, or not sent again, because of its content.
     std::optional<content_fingerprint> content;
+    /// Ends the request at its deadline.
+    deadline_queue::entry expiry;
     /// For the head of the request and this object.
     memory_lease held;
     /// For the body, while the request is in progress.
--- a/libs/relay/src/upstream_exchange.cpp
+++ b/libs/relay/src/upstream_exchange.cpp
@@ -113,11 +113,12 @@
 void upstream_exchange::start(const upstream_request& request, std::shared_ptr<byte_stream> reused)
 {
     new_parser();
-    client_.deadlines_.at(request.deadline + late_answer_allowance, [weak = weak_from_this()] {
-        if (const auto self = weak.lock()) {
-            self->on_deadline();
-        }
-    });
+    expiry_ =
+        client_.deadlines_.at(request.deadline + late_answer_allowance, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->on_deadline();
+            }
+        });
     if (reused) {
         is_reused_ = true;
         stream_ = std::move(reused);
@@ -299,6 +300,7 @@
 void upstream_exchange::finish(upstream_result result)
 {
     client_.record_buffered_bytes(*this, 0);
+    client_.deadlines_.cancel(expiry_);
     const auto done = std::exchange(done_, nullptr);
     if (stream_) {
         std::exchange(stream_, nullptr)->close();
@@ -311,6 +313,7 @@
 void upstream_exchange::cancel()
 {
     client_.record_buffered_bytes(*this, 0);
+    client_.deadlines_.cancel(expiry_);
     done_ = nullptr;
     if (stream_) {
         std::exchange(stream_, nullptr)->abort();
--- a/libs/relay/src/upstream_exchange.h
+++ b/libs/relay/src/upstream_exchange.h
@@ -60,6 +60,8 @@
     upstream_client::result_handler done_;
     std::shared_ptr<byte_stream> stream_;
     std::optional<response_parser> parser_;
+    /// Ends the exchange after the request's deadline.
+    deadline_queue::entry expiry_;
     std::string id_;
     byte_account::holder number_;
     std::size_t answer_limit_;
