Keep the bytes of the input buffer in place while a handler uses them

Found by reading, before any landing: byte_stream::write counted its bytes and also shrank the input buffer. A handler that writes an answer while it works on a view of its input, such as a message of a peer, was left with a view of freed memory. The buffer now shrinks only after its handler has returned, or when its input is dropped.

--- a/libs/relay/src/byte_stream.cpp
+++ b/libs/relay/src/byte_stream.cpp
@@ -109,7 +109,7 @@
     if (end && open_) {
         end_input(end);
     }
-    count_bytes();
+    shrink_input();
     if (const auto& resources = *resources_; resources.enforce) {
         resources.enforce();
     }
@@ -149,11 +149,16 @@
     }
 }
 
-void byte_stream::count_bytes()
+void byte_stream::shrink_input()
 {
     if (buffer_.size() < read_size && buffer_.capacity() > buffer_.size()) {
         buffer_.shrink_to_fit();
     }
+    count_bytes();
+}
+
+void byte_stream::count_bytes()
+{
     held_.resize(connection_bytes + buffer_.capacity() + text_.capacity());
 }
 
@@ -362,14 +367,13 @@
         close_check_.emplace(socket_.get_executor());
         watch_for_close();
     }
-    count_bytes();
     await_input();
 }
 
 void byte_stream::drop_input()
 {
     buffer_.consume(buffer_.size());
-    count_bytes();
+    shrink_input();
 }
 
 void byte_stream::watch_for_close()
--- a/libs/relay/src/byte_stream.h
+++ b/libs/relay/src/byte_stream.h
@@ -105,7 +105,9 @@
     boost::system::error_code read_available();
     /// Passes the buffered input on; an exception of the handler ends the connection.
     void deliver();
-    /// Releases unused memory of the input buffer, and records what it and the output hold.
+    /// Releases unused memory of the input buffer. Invalidates pointers to its bytes.
+    void shrink_input();
+    /// Records what the input buffer and the output hold.
     void count_bytes();
     /// Handles the end of the input, which leaves the connection open if `input_ended` is set.
     void end_input(boost::system::error_code error);
