Report the bytes of an answered request at once, and satisfy the linter

Found by reading: after a long answer caller_session reported its freed request bytes only when the answer had been read, so that requests of others could be refused meanwhile for a total that was too large. It now reports them with every answer.

--- a/libs/relay/src/caller_session.cpp
+++ b/libs/relay/src/caller_session.cpp
@@ -112,13 +112,15 @@
 
 void caller_session::resume()
 {
-    if (closing_ || must_wait()) {
+    if (closing_) {
         return;
     }
-    if (buffer_ != nullptr) {
-        parse_all(*buffer_);
+    if (!must_wait()) {
+        if (buffer_ != nullptr) {
+            parse_all(*buffer_);
+        }
+        stream_->pause_reading(must_wait() && stream_->unconsumed() > max_read_ahead);
     }
-    stream_->pause_reading(must_wait() && stream_->unconsumed() > max_read_ahead);
     handlers_.buffered_bytes_changed(shared_from_this());
 }
 
--- a/libs/relay/src/deadline_queue.h
+++ b/libs/relay/src/deadline_queue.h
@@ -3,10 +3,10 @@
 #include "base/time.h"
 #include "call_io/asio.h"
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <tuple>
 
 namespace trefoil {
 
@@ -19,7 +19,10 @@
         mono_time when;
         std::uint64_t number = 0;
 
-        friend auto operator<=>(const entry&, const entry&) = default;
+        friend bool operator<(const entry& a, const entry& b)
+        {
+            return std::tie(a.when, a.number) < std::tie(b.when, b.number);
+        }
     };
 
     explicit deadline_queue(asio::io_context& context) : timer_(context) {}
