Show the store's era and revision beside the node's own in log and metrics

The record cannot tell a store that came back from an older copy from lost changes or a refused configuration: store_history_lost named only the node's own revision, and a full read that was dropped as older left no line.

- store_read_ignored: revision read, revision known, era of the answer; a counter for it and for store_history_lost, and a gauge of the node's revision.
- call_failed names the configuration by which a route was unknown.

--- a/libs/relay/include/relay/item_reader.h
+++ b/libs/relay/include/relay/item_reader.h
@@ -6,6 +6,7 @@
 #include <concepts>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,8 @@
     std::uint64_t revision = 0;
     /// Cause of a failure, for the log.
     std::string detail;
+    /// Number of times the store has returned from an older copy, in any answer that states it.
+    std::optional<std::uint64_t> era{};
 };
 
 using read_handler = std::function<void(read_result)>;
--- a/libs/relay/include/relay/published_feed.h
+++ b/libs/relay/include/relay/published_feed.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -46,6 +47,8 @@
         std::function<void(bool available)> availability;
         /// Returns the revision up to which the state of this node is complete.
         std::function<std::uint64_t()> known;
+        /// Counts an event under this metric; not called if empty.
+        std::function<void(std::string_view metric)> count{};
     };
 
     published_feed(asio::io_context& context, Reader& reader, std::string prefix,
@@ -130,6 +133,14 @@
             return;
         }
         needs_full_read_ = false;
+        if (page_revision_ < handlers_.known()) {
+            log_event("store_read_ignored")
+                .add("revision", page_revision_)
+                .add("known", handlers_.known())
+                .add("era", era_text(result))
+                .warning();
+            count("trefoil_store_reads_ignored_total");
+        }
         revision_ = page_revision_;
         gossip_.call_answered(boot_clock::now());
         set_available(true);
@@ -165,7 +176,9 @@
             log_event("store_history_lost")
                 .add("prefix", prefix_)
                 .add("revision", revision_)
+                .add("era", era_text(result))
                 .info();
+            count("trefoil_store_history_lost_total");
             gossip_.call_answered(boot_clock::now());
             step_again();
             return;
@@ -186,6 +199,19 @@
         step_again();
     }
 
+    void count(std::string_view metric)
+    {
+        if (handlers_.count) {
+            handlers_.count(metric);
+        }
+    }
+
+    /// The era of an answer for the log; empty if the answer does not state it.
+    static std::string era_text(const read_result& result)
+    {
+        return result.era ? std::to_string(*result.era) : std::string();
+    }
+
     void set_available(bool available)
     {
         if (available) {
--- a/libs/relay/include/relay/relay_node.h
+++ b/libs/relay/include/relay/relay_node.h
@@ -3,6 +3,7 @@
 #include "call_io/asio.h"
 #include "dispatch/target_entry.h"
 #include "dispatch/traffic_config.h"
+#include "metrics/metrics.h"
 #include "relay/published_changes.h"
 #include "relay/relay_settings.h"
 #include "spread/gossip_member.h"
@@ -67,6 +68,9 @@
     /// Keeps such targets for the time that another node reported.
     void extend_confirmation(std::chrono::milliseconds left);
 
+    /// Returns the metrics served on the metrics page.
+    metrics& counters() noexcept;
+
     /// Reports not ready, finishes the requests in progress and then runs `done`, at the latest
     /// shortly before the grace time ends.
     void drain(std::function<void()> done);
--- a/libs/relay/include/relay/relay_service.h
+++ b/libs/relay/include/relay/relay_service.h
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace trefoil {
@@ -52,7 +53,8 @@
                         apply_and_push(known, *changed, true);
                     }
                 },
-                [this](bool) { update_availability(); }, [this] { return cache_.revision(); }};
+                [this](bool) { update_availability(); }, [this] { return cache_.revision(); },
+                [this](std::string_view metric) { node_.counters().add(metric); }};
     }
 
     peer_state_exchange exchange()
@@ -158,6 +160,7 @@
     {
         const auto now = boot_clock::now();
         update_availability();
+        node_.counters().set("trefoil_state_revision", static_cast<double>(cache_.revision()));
         feed_.wake();
         if (const auto peer = gossip_.next_pull(now)) {
             node_.request_state(peer->str());
--- a/libs/relay/src/call_report.cpp
+++ b/libs/relay/src/call_report.cpp
@@ -38,6 +38,9 @@
             .add("nested", call.nested)
             .add("chance", call.chance);
     }
+    else if (call.routes != nullptr) {
+        line.add("config", call.routes->config().version);
+    }
     if (call.content) {
         line.add("content", call.content->to_string());
     }
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -555,6 +555,11 @@
     impl_->targets.extend_confirmation(left, boot_clock::now());
 }
 
+metrics& relay_node::counters() noexcept
+{
+    return impl_->counters;
+}
+
 void relay_node::drain(std::function<void()> done)
 {
     if (impl_->drain) {
