--- a/libs/dispatch/include/dispatch/target_directory.h
+++ b/libs/dispatch/include/dispatch/target_directory.h
@@ -49,6 +49,10 @@
     /// Called when the store is available again; starts the confirmation time.
     void on_store_available(mono_time now);
 
+    /// Called when the store has returned from an older copy, in which entries may be missing that
+    /// are published again; starts the confirmation time.
+    void on_store_returned(mono_time now) { confirm_until_ = now + options_.confirm_time; }
+
     /// Remaining time for which targets with missing entries are kept; 0 if they are not kept.
     std::chrono::milliseconds confirmation_time_left(mono_time now) const;
 
--- a/libs/dispatch/include/dispatch/target_entry.h
+++ b/libs/dispatch/include/dispatch/target_entry.h
@@ -36,4 +36,13 @@
     friend bool operator==(const target_entry&, const target_entry&) = default;
 };
 
+/// Whether an entry was published before another one of the same id.
+inline bool is_older(const target_entry& entry, const target_entry& other)
+{
+    if (entry.id.start != other.id.start) {
+        return entry.id.start < other.id.start;
+    }
+    return entry.update < other.update;
+}
+
 } // namespace trefoil
--- a/libs/dispatch/src/target_directory.cpp
+++ b/libs/dispatch/src/target_directory.cpp
@@ -15,22 +15,10 @@
     std::erase(by_service_[target->entry.service], target);
 }
 
-namespace {
-
-/// Whether `entry` was published before `known`, which happens if the store applied a write late.
-bool is_older(const target_entry& entry, const target_entry& known)
-{
-    if (entry.id.start != known.id.start) {
-        return entry.id.start < known.id.start;
-    }
-    return entry.update < known.update;
-}
-
-} // namespace
-
 void target_directory::put(const target_entry& entry)
 {
     auto& known = by_id_[entry.id.id];
+    // The store may apply a write late, or return from an older copy.
     if (known && is_older(entry, known->entry)) {
         known->unconfirmed = false;
         return;
--- a/libs/relay/include/relay/item_cache.h
+++ b/libs/relay/include/relay/item_cache.h
@@ -13,7 +13,7 @@
 namespace trefoil {
 
 /// Cache of the published items, received from the store or from other nodes. An item is never
-/// replaced by an older revision.
+/// replaced by an older version.
 class item_cache {
 public:
     /// `max_removals` bounds the removed keys kept for nodes with an older state. A node whose
@@ -26,34 +26,50 @@
     /// Several times the number of targets that change while a node may have an old state.
     static constexpr std::size_t default_max_removals = 4096;
 
-    /// Merges all changes after `base` up to `revision`. Returns the items that were newer than the
-    /// cached ones; nullopt, without any change, if changes between the cached revision and `base`
-    /// are missing.
+    /// Merges all changes after the revision `base` up to `version`. Returns the items that were
+    /// newer than the cached ones; nullopt, without any change, if changes between the cached
+    /// version and `base` are missing, or if `version` is of a later era.
     std::optional<std::vector<published_item>> merge(const std::vector<published_item>& items,
-                                                     std::uint64_t base, std::uint64_t revision);
+                                                     std::uint64_t base,
+                                                     const published_version& version);
 
-    /// Replaces the state by the full state at `revision`. Returns the changed items, with removals
-    /// for cached items that are missing and not newer. Ignored if `revision` is older than the
-    /// cached one.
+    /// Replaces the state by the full state at `version`. Returns the changed items, with removals
+    /// for cached items that are missing and not newer. In a later era an item is changed if its
+    /// value differs, whatever its revision. Ignored if `version` is older than the cached one.
     std::vector<published_item> replace(const std::vector<published_item>& items,
-                                        std::uint64_t revision);
+                                        const published_version& version);
 
-    /// Returns the changes for a node whose state is complete at `known`: the full state if the
-    /// removals since then are no longer kept.
-    published_changes changes_since(std::uint64_t known) const;
+    /// Returns the changes for a node whose state is complete at `known`: the full state if it is
+    /// of an earlier era, or if the removals since then are no longer kept.
+    published_changes changes_since(const published_version& known) const;
 
-    /// Revision up to which the state is complete; 0 if nothing is cached.
-    std::uint64_t revision() const noexcept { return revision_; }
+    /// Version up to which the state is complete; its revision is 0 if nothing is cached.
+    const published_version& version() const noexcept { return version_; }
+
+    /// The cached item; null if there is none or it was removed.
+    const published_item* find(const std::string& key) const;
+
+    /// Passes each item that is not removed to the function.
+    template<class Function>
+    void for_each(Function function) const
+    {
+        for (const auto& [key, item] : items_) {
+            if (!item.removed) {
+                function(item);
+            }
+        }
+    }
 
 private:
     void apply(const published_item& item, std::vector<published_item>& changed);
+    std::vector<published_item> replace_era(const std::vector<published_item>& items);
     void discard_old_removals();
 
     std::size_t max_removals_;
     std::map<std::string, published_item> items_;
     /// Keys of removed items, by revision.
     std::multimap<std::uint64_t, std::string> removals_;
-    std::uint64_t revision_ = 0;
+    published_version version_;
     /// Removals up to this revision may have been discarded.
     std::uint64_t discarded_revision_ = 0;
 };
--- a/libs/relay/include/relay/published_changes.h
+++ b/libs/relay/include/relay/published_changes.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "base/versions.h"
 #include "relay/published_item.h"
+#include "spread/published_version.h"
 
 #include <chrono>
 #include <cstdint>
@@ -10,14 +12,20 @@
 
 /// Changes of the published state, as exchanged between nodes.
 struct published_changes {
-    /// The items are all changes after this revision; 0 if they are the full state.
+    /// The items are all changes after this revision, in the era of `version`; 0 if they are the
+    /// full state.
     std::uint64_t base = 0;
-    /// Revision at which the state is complete once the items are merged into the state at `base`.
-    std::uint64_t revision = 0;
+    /// Version at which the state is complete once the items are merged into the state at `base`.
+    published_version version;
     std::vector<published_item> items;
     /// Time for which the sender still keeps targets whose entries are missing, since the store was
-    /// unavailable.
+    /// unavailable or returned from an older copy.
     std::chrono::milliseconds confirmation_time_left{0};
+    /// Items that stay in force at the sender in place of older ones of the store. That of a target
+    /// that is gone is marked as removed and has the last value of the target's entry.
+    std::vector<published_item> retained{};
+    /// Version of the configuration in force at the sender, if it is retained; 0 otherwise.
+    config_version retained_config{};
 };
 
 } // namespace trefoil
--- a/libs/relay/include/relay/published_feed.h
+++ b/libs/relay/include/relay/published_feed.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "relay/feed_cursor.h"
 #include "relay/item_reader.h"
 
 #include "base/log_event.h"
@@ -7,9 +8,9 @@
 #include "call_io/asio.h"
 #include "spread/revision_gossip.h"
 
-#include <algorithm>
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -31,22 +32,23 @@
 
 /// Follows one key prefix of the store while this node is one of those selected to call it. Reads
 /// the whole prefix, then watches for changes. Repeats the full read when the store no longer has
-/// the history, after a failed call, and when the node is selected again. Runs on one io_context
+/// the history or has returned from an older copy, after a failed call, and when the node is
+/// selected again. Runs on one io_context
 /// and must live as long as it.
 template<item_reader Reader>
 class published_feed {
 public:
     struct handlers {
-        /// The prefix was read in full, at this revision.
-        std::function<void(const std::vector<published_item>&, std::uint64_t revision)> replaced;
-        /// A watch returned all changes after `base`, up to and including `revision`.
+        /// The prefix was read in full, at this version.
+        std::function<void(const std::vector<published_item>&, const published_version&)> replaced;
+        /// A watch returned all changes after the revision `base`, up to and including the version.
         std::function<void(const std::vector<published_item>&, std::uint64_t base,
-                           std::uint64_t revision)>
+                           const published_version&)>
             changed;
         /// The store became available or unavailable to this node.
         std::function<void(bool available)> availability;
-        /// Returns the revision up to which the state of this node is complete.
-        std::function<std::uint64_t()> known;
+        /// Returns the version up to which the state of this node is complete.
+        std::function<published_version()> known;
         /// Counts an event under this metric; not called if empty.
         std::function<void(std::string_view metric)> count{};
     };
@@ -87,7 +89,7 @@
             return;
         }
         set_calling(true);
-        needs_full_read_ ? read_page({}) : watch();
+        cursor_.needs_full_read() ? read_page({}) : watch();
     }
 
     void step_again()
@@ -100,7 +102,7 @@
     {
         if (calling_ != calling) {
             calling_ = calling;
-            needs_full_read_ = true;
+            cursor_.require_full_read();
             log_event(calling ? "store_calls_begun" : "store_calls_ended")
                 .add("prefix", prefix_)
                 .add("chosen", gossip_.is_chosen())
@@ -111,8 +113,7 @@
     void read_page(const std::string& after)
     {
         if (after.empty()) {
-            page_items_.clear();
-            page_revision_ = 0;
+            cursor_.begin_read();
         }
         reader_.read(prefix_, after, [this](read_result result) { on_page(std::move(result)); });
     }
@@ -123,28 +124,29 @@
             on_failure(result);
             return;
         }
-        // The pages are not one snapshot. The watch starts at the lowest revision of all pages, so
-        // that no change between them is missed.
-        page_revision_ =
-            page_revision_ == 0 ? result.revision : std::min(page_revision_, result.revision);
-        page_items_.insert(page_items_.end(), result.items.begin(), result.items.end());
-        if (result.has_more && !result.items.empty()) {
+        switch (cursor_.add_page(result, handlers_.known())) {
+        case feed_cursor::page_use::more:
             read_page(result.items.back().key);
             return;
+        case feed_cursor::page_use::restart:
+            log_event("store_read_restarted").add("era", era_text(result)).info();
+            read_page({});
+            return;
+        case feed_cursor::page_use::stale:
+            on_stale(result);
+            return;
+        case feed_cursor::page_use::complete:
+            break;
         }
-        needs_full_read_ = false;
-        if (page_revision_ < handlers_.known()) {
+        on_answer();
+        if (cursor_.version() < handlers_.known()) {
             log_event("store_read_ignored")
-                .add("revision", page_revision_)
+                .add("version", cursor_.version())
                 .add("known", handlers_.known())
-                .add("era", era_text(result))
                 .warning();
             count("trefoil_store_reads_ignored_total");
         }
-        revision_ = page_revision_;
-        gossip_.call_answered(boot_clock::now());
-        set_available(true);
-        handlers_.replaced(page_items_, page_revision_);
+        handlers_.replaced(cursor_.items(), cursor_.version());
         step_again();
     }
 
@@ -153,29 +155,46 @@
         std::uniform_int_distribution<std::int64_t> draw(options_.min_watch_time.count(),
                                                          options_.max_watch_time.count());
         const std::chrono::milliseconds wait(draw(random_));
-        revision_ = std::max(revision_, handlers_.known());
+        const auto base = cursor_.begin_watch(handlers_.known());
         gossip_.watch_started(wait, boot_clock::now());
-        reader_.watch(prefix_, revision_, wait, [this](read_result result) {
-            if (result.status != read_status::ok) {
-                on_failure(result);
-                return;
-            }
-            const auto base = revision_;
-            revision_ = std::max(revision_, result.revision);
-            gossip_.call_answered(boot_clock::now());
-            set_available(true);
-            handlers_.changed(result.items, base, revision_);
-            step_again();
-        });
+        reader_.watch(prefix_, base.revision, wait,
+                      [this](const read_result& result) { on_watch(result); });
+    }
+
+    void on_watch(const read_result& result)
+    {
+        if (result.status != read_status::ok) {
+            on_failure(result);
+            return;
+        }
+        const auto use = cursor_.take_watch(result, handlers_.known());
+        if (use == feed_cursor::watch_use::stale) {
+            on_stale(result);
+            return;
+        }
+        on_answer();
+        if (use == feed_cursor::watch_use::changes) {
+            handlers_.changed(result.items, cursor_.base().revision, cursor_.version());
+        }
+        step_again();
+    }
+
+    void on_answer()
+    {
+        gossip_.call_answered(boot_clock::now());
+        set_available(true);
     }
 
     void on_failure(const read_result& result)
     {
-        needs_full_read_ = true;
         if (result.status == read_status::history_lost) {
+            if (!cursor_.take_history_lost(result, handlers_.known())) {
+                on_stale(result);
+                return;
+            }
             log_event("store_history_lost")
                 .add("prefix", prefix_)
-                .add("revision", revision_)
+                .add("version", cursor_.base())
                 .add("era", era_text(result))
                 .info();
             count("trefoil_store_history_lost_total");
@@ -183,16 +202,33 @@
             step_again();
             return;
         }
+        cursor_.require_full_read();
+        record_failure(result.detail);
+    }
+
+    /// Drops an answer from before the store returned from an older copy.
+    void on_stale(const read_result& result)
+    {
+        if (stale_era_ != result.era) {
+            stale_era_ = result.era;
+            log_event("store_answer_stale")
+                .add("era", era_text(result))
+                .add("known", handlers_.known())
+                .warning();
+        }
+        count("trefoil_store_answers_stale_total");
+        record_failure("answer of an earlier era");
+    }
+
+    void record_failure(const std::string& detail)
+    {
         gossip_.call_failed(boot_clock::now());
         ++failures_;
         // One closed watch is no outage. The full read that follows, unlike another watch, is
         // answered immediately and so shows whether the store is available.
         if (failures_ > 1 || !available_) {
             if (available_) {
-                log_event("store_lost")
-                    .add("prefix", prefix_)
-                    .add("detail", result.detail)
-                    .warning();
+                log_event("store_lost").add("prefix", prefix_).add("detail", detail).warning();
             }
             set_available(false);
         }
@@ -243,15 +279,14 @@
     revision_gossip& gossip_;
     handlers handlers_;
     published_feed_options options_;
-    std::vector<published_item> page_items_;
-    std::uint64_t page_revision_ = 0;
-    std::uint64_t revision_ = 0;
+    feed_cursor cursor_;
+    /// Era of the last stale answer that was logged.
+    std::optional<std::uint64_t> stale_era_;
     std::minstd_rand random_{std::random_device{}()};
     int failures_ = 0;
     /// A call is in progress or scheduled.
     bool busy_ = false;
     bool calling_ = false;
-    bool needs_full_read_ = true;
     bool available_ = false;
 };
 
--- a/libs/relay/include/relay/relay_node.h
+++ b/libs/relay/include/relay/relay_node.h
@@ -26,8 +26,11 @@
     std::function<bool(const state_version&)> peer_version;
     /// Applies a peer's changes. Returns true if earlier changes are missing.
     std::function<bool(const published_changes&)> received;
-    /// Returns the changes that a peer with this revision does not have.
-    std::function<published_changes(std::uint64_t known)> changes_since;
+    /// Returns the changes that a peer with this version and configuration does not have.
+    std::function<published_changes(const published_version& known, config_version config)>
+        changes_since;
+    /// Returns the version of the configuration in force.
+    std::function<config_version()> own_config;
 };
 
 /// The proxy beside one target. Forwards requests from callers on its VM to targets of the
@@ -52,6 +55,8 @@
     void remove_target(const std::string& id);
     /// Reports that the store became available or unavailable.
     void set_store_available(bool available);
+    /// Reports that the store has returned from an older copy, in which entries may be missing.
+    void on_store_returned();
 
     /// Requests published changes and crash records from the node at the address.
     void request_state(const std::string& address);
--- a/libs/relay/include/relay/relay_service.h
+++ b/libs/relay/include/relay/relay_service.h
@@ -1,15 +1,17 @@
 #pragma once
 
-#include "relay/item_cache.h"
 #include "relay/item_decoder.h"
 #include "relay/item_reader.h"
 #include "relay/published_feed.h"
 #include "relay/relay_node.h"
+#include "relay/store_replica.h"
 
 #include "base/log_event.h"
 #include "spread/revision_gossip.h"
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -23,11 +25,11 @@
 class relay_service {
 public:
     relay_service(asio::io_context& context, const relay_settings& settings, Reader& reader,
-                  Decoder decoder)
-        : node_(context, settings), decoder_(std::move(decoder)),
+                  const Decoder& decoder)
+        : node_(context, settings), state_(decoder, node_),
           gossip_({vm_name(settings.inbound.address().to_string()), settings.zone},
                   boot_clock::now()),
-          feed_(context, reader, decoder_.prefix(), gossip_, feed_handlers()), timer_(context)
+          feed_(context, reader, decoder.prefix(), gossip_, feed_handlers()), timer_(context)
     {
         node_.set_state_exchange(exchange());
     }
@@ -43,77 +45,102 @@
 private:
     typename published_feed<Reader>::handlers feed_handlers()
     {
-        return {[this](const auto& items, std::uint64_t revision) {
-                    const auto known = cache_.revision();
-                    apply_and_push(known, cache_.replace(items, revision), true);
-                },
-                [this](const auto& items, std::uint64_t base, std::uint64_t revision) {
-                    const auto known = cache_.revision();
-                    if (const auto changed = cache_.merge(items, base, revision)) {
-                        apply_and_push(known, *changed, true);
+        return {[this](const auto& items, const published_version& version) {
+                    if (state_.is_return(version)) {
+                        node_.on_store_returned();
                     }
+                    finish(state_.replace(items, version), update_source::store);
+                },
+                [this](const auto& items, std::uint64_t base, const published_version& version) {
+                    finish(state_.merge(items, base, version), update_source::store);
                 },
-                [this](bool) { update_availability(); }, [this] { return cache_.revision(); },
+                [this](bool) { update_availability(); }, [this] { return state_.version(); },
                 [this](std::string_view metric) { node_.counters().add(metric); }};
     }
 
     peer_state_exchange exchange()
     {
-        return {[this] { return gossip_.version(cache_.revision(), boot_clock::now()); },
+        return {[this] { return gossip_.version(state_.version(), boot_clock::now()); },
                 [this](const state_version& version) {
-                    return gossip_.received(version, cache_.revision(), boot_clock::now());
+                    return gossip_.received(version, state_.version(), boot_clock::now());
                 },
                 [this](const published_changes& changes) { return receive(changes); },
-                [this](std::uint64_t known) {
-                    auto changes = cache_.changes_since(known);
+                [this](const published_version& known, config_version config) {
+                    auto changes = state_.changes_since(known, config);
                     changes.confirmation_time_left = node_.confirmation_time_left();
                     return changes;
-                }};
+                },
+                [this] { return state_.config(); }};
     }
 
-    /// Applies changes from a peer. Returns true if changes between the known revision and
-    /// `changes.base` are missing.
+    enum class update_source : std::uint8_t { store, peer };
+
+    /// Applies changes from a peer. Returns true if the peer has changes that are missing here.
     bool receive(const published_changes& changes)
     {
         update_availability();
-        const auto known = cache_.revision();
-        if (changes.revision <= known) {
-            return false;
+        if (changes.version > state_.version()) {
+            node_.extend_confirmation(changes.confirmation_time_left);
+            may_miss_expiry_ = may_miss_expiry_ || changes.confirmation_time_left.count() > 0;
         }
-        node_.extend_confirmation(changes.confirmation_time_left);
-        may_miss_expiry_ = may_miss_expiry_ || changes.confirmation_time_left.count() > 0;
-        if (changes.base == 0) {
-            apply_and_push(known, cache_.replace(changes.items, changes.revision), false);
-            return false;
-        }
-        const auto changed = cache_.merge(changes.items, changes.base, changes.revision);
-        if (changed) {
-            apply_and_push(known, *changed, false);
-        }
-        return !changed;
+        const auto update = state_.receive(changes);
+        finish(update, update_source::peer);
+        return update.lacks_changes;
     }
 
-    /// Applies new items to the node and pushes them to peers. `known` is the revision up to which
-    /// the state was complete before.
-    void apply_and_push(std::uint64_t known, const std::vector<published_item>& items,
-                        bool from_store)
+    /// Logs an update and passes it on to peers.
+    void finish(const state_update& update, update_source source)
     {
-        if (items.empty()) {
+        if (update.is_new_era()) {
+            log_new_era(update, source);
+        }
+        if (update.items.empty() && !update.has_adopted && !update.is_new_era()) {
             return;
         }
-        apply(items);
+        node_.counters().set("trefoil_state_revision",
+                             static_cast<double>(state_.version().revision));
+        node_.counters().set("trefoil_store_era", static_cast<double>(state_.version().era));
+        node_.counters().set("trefoil_items_retained", static_cast<double>(state_.retained()));
         gossip_.set_members(node_.members());
         feed_.wake();
-        if (known == 0) {
+        if (update.before.revision == 0) {
             return; // The initial full state is not pushed: other nodes are at least as recent.
         }
-        const published_changes changes{known, cache_.revision(), items,
-                                        node_.confirmation_time_left()};
-        for (const auto& peer : gossip_.push_targets(from_store)) {
+        const auto changes = changes_to_push(update);
+        for (const auto& peer : gossip_.push_targets(source == update_source::store)) {
             node_.push_state(peer.str(), changes);
         }
     }
 
+    published_changes changes_to_push(const state_update& update) const
+    {
+        auto changes = state_.notice();
+        // Changes of a later era do not follow on the state that a peer has. It requests the full
+        // state when it learns of the era.
+        if (!update.is_new_era() && !update.items.empty()) {
+            changes.base = update.before.revision;
+            changes.items = update.items;
+        }
+        changes.confirmation_time_left = node_.confirmation_time_left();
+        return changes;
+    }
+
+    void log_new_era(const state_update& update, update_source source)
+    {
+        const auto removed = std::ranges::count_if(
+            update.items, [](const published_item& item) { return item.removed; });
+        log_event("store_era_changed")
+            .add("from", update.before)
+            .add("to", update.after)
+            .add("source", source == update_source::store ? "store" : "peer")
+            .add("changed", update.items.size() - static_cast<std::size_t>(removed))
+            .add("removed", removed)
+            .add("retained", state_.retained())
+            .add("config", state_.config())
+            .warning();
+        node_.counters().add("trefoil_store_era_changes_total");
+    }
+
     void update_availability()
     {
         const bool available = feed_.is_available() || gossip_.has_contact(boot_clock::now());
@@ -127,45 +154,15 @@
         }
     }
 
-    void apply(const std::vector<published_item>& items)
-    {
-        for (const auto& item : items) {
-            try {
-                apply(item);
-            }
-            catch (const invalid_item& e) {
-                log_event("item_refused")
-                    .add("key", item.key)
-                    .add("revision", item.revision)
-                    .add("detail", e.what())
-                    .warning();
-                if (const auto id = decoder_.target_id(item.key)) {
-                    node_.remove_target(*id);
-                }
-            }
-        }
-    }
-
-    void apply(const published_item& item)
-    {
-        if (const auto id = decoder_.target_id(item.key)) {
-            item.removed ? node_.remove_target(*id) : node_.put_target(decoder_.target(item));
-        }
-        else if (decoder_.is_config(item.key) && !item.removed) {
-            node_.set_config(decoder_.config(item));
-        }
-    }
-
     void tick()
     {
         const auto now = boot_clock::now();
         update_availability();
-        node_.counters().set("trefoil_state_revision", static_cast<double>(cache_.revision()));
         feed_.wake();
         if (const auto peer = gossip_.next_pull(now)) {
             node_.request_state(peer->str());
         }
-        else if (cache_.revision() == 0) {
+        else if (state_.version().revision == 0) {
             node_.request_state_of_any();
         }
         timer_.expires_after(revision_gossip::tick_interval);
@@ -177,8 +174,7 @@
     }
 
     relay_node node_;
-    Decoder decoder_;
-    item_cache cache_;
+    store_replica<Decoder, relay_node> state_;
     revision_gossip gossip_;
     published_feed<Reader> feed_;
     asio::steady_timer timer_;
--- /dev/null
+++ b/libs/relay/include/relay/store_replica.h
@@ -0,0 +1,354 @@
+#pragma once
+
+#include "relay/item_cache.h"
+#include "relay/item_decoder.h"
+#include "relay/published_changes.h"
+#include "relay/retained_items.h"
+
+#include "base/log_event.h"
+#include "base/versions.h"
+#include "dispatch/target_entry.h"
+#include "dispatch/traffic_config.h"
+
+#include <algorithm>
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace trefoil {
+
+/// What the published state is applied to.
+template<class Sink>
+concept state_sink = requires(Sink s, const target_entry& entry, const std::string& id,
+                              traffic_config config)
+{
+    s.put_target(entry);
+    s.remove_target(id);
+    s.set_config(std::move(config));
+};
+
+/// What one application of published items changed.
+struct state_update {
+    published_version before;
+    published_version after;
+    /// The items of the store that changed.
+    std::vector<published_item> items{};
+    /// True if items that another node retains were new to this node.
+    bool has_adopted = false;
+    /// True if the sender has changes that this node lacks, so that they are to be requested.
+    bool lacks_changes = false;
+
+    bool is_new_era() const { return before.revision != 0 && after.era > before.era; }
+};
+
+/// The published state as one node knows it, from the store and from other nodes, and what of it is
+/// in force. When the store returns from an older copy, a newer configuration stays in force, and
+/// targets that were leaving or gone stay so, until they are written again.
+template<item_decoder Decoder, state_sink Sink>
+class store_replica {
+public:
+    store_replica(Decoder decoder, Sink& sink) : decoder_(std::move(decoder)), sink_(sink) {}
+
+    const published_version& version() const noexcept { return cache_.version(); }
+
+    /// Version of the configuration in force; 0 if there is none.
+    config_version config() const noexcept { return config_; }
+
+    /// Number of items that stay in force in place of older ones of the store.
+    std::size_t retained() const noexcept { return retained_.active().size(); }
+
+    /// Whether a full state at this version comes from a store that has returned from an older
+    /// copy.
+    bool is_return(const published_version& v) const
+    {
+        return version().revision != 0 && v.era > version().era;
+    }
+
+    /// Applies a full read. Ignored if it is older than what is known.
+    state_update replace(const std::vector<published_item>& items, const published_version& v)
+    {
+        state_update update{version(), version()};
+        replace(items, v, update);
+        return update;
+    }
+
+    /// Applies all changes after the revision `base` up to the version.
+    state_update merge(const std::vector<published_item>& items, std::uint64_t base,
+                       const published_version& v)
+    {
+        state_update update{version(), version()};
+        merge(items, base, v, update);
+        return update;
+    }
+
+    /// Applies what another node sent.
+    state_update receive(const published_changes& changes)
+    {
+        state_update update{version(), version()};
+        if (changes.version > version()) {
+            if (changes.base == 0) {
+                replace(changes.items, changes.version, update);
+            }
+            else {
+                merge(changes.items, changes.base, changes.version, update);
+            }
+        }
+        adopt(changes.retained, update);
+        update.lacks_changes = update.lacks_changes || changes.retained_config > config_;
+        return update;
+    }
+
+    /// Returns the changes that a node lacks with this version and configuration.
+    published_changes changes_since(const published_version& known, config_version config) const
+    {
+        auto changes = cache_.changes_since(known);
+        add_retained(changes, config);
+        return changes;
+    }
+
+    /// Tells a node of the version and of retained items, without the changes.
+    published_changes notice() const
+    {
+        published_changes changes{version().revision, version(), {}};
+        add_retained(changes, config_);
+        return changes;
+    }
+
+private:
+    void replace(const std::vector<published_item>& items, const published_version& v,
+                 state_update& update)
+    {
+        if (v < version()) {
+            return;
+        }
+        const bool is_new_era = is_return(v);
+        auto held = is_new_era ? held_items() : std::vector<published_item>();
+        auto changed = cache_.replace(items, v);
+        if (is_new_era) {
+            retained_.clear_active();
+            for (auto& item : held) {
+                hold(std::move(item));
+            }
+        }
+        else {
+            record_departures(changed);
+        }
+        finish(std::move(changed), update);
+    }
+
+    void merge(const std::vector<published_item>& items, std::uint64_t base,
+               const published_version& v, state_update& update)
+    {
+        auto changed = cache_.merge(items, base, v);
+        if (!changed) {
+            update.lacks_changes = true;
+            return;
+        }
+        record_departures(*changed);
+        finish(std::move(*changed), update);
+    }
+
+    void finish(std::vector<published_item> changed, state_update& update)
+    {
+        for (const auto& item : changed) {
+            if (!stays_retained(item)) {
+                retained_.deactivate(item.key);
+                apply(item);
+            }
+        }
+        update.after = version();
+        update.items = std::move(changed);
+    }
+
+    /// Items that are to stay in force if the copy from which the store returns has older ones: the
+    /// configuration, and the targets that are leaving or gone.
+    std::vector<published_item> held_items() const
+    {
+        auto held = retained_.departed();
+        for (const auto& [key, item] : retained_.active()) {
+            if (!item.removed) {
+                held.push_back(item);
+            }
+        }
+        cache_.for_each([&](const published_item& item) {
+            if (!retained_.active().contains(item.key) &&
+                (decoder_.is_config(item.key) || leaving_.contains(item.key))) {
+                held.push_back(item);
+            }
+        });
+        return held;
+    }
+
+    /// Keeps an item of the earlier era in force if the new one has none or an older one.
+    void hold(published_item item)
+    {
+        const auto* const current = cache_.find(item.key);
+        if (decoder_.is_config(item.key)) {
+            if (current == nullptr || outranks(item, *current)) {
+                retained_.activate(std::move(item));
+            }
+        }
+        else if (current != nullptr && outranks(item, *current)) {
+            retained_.activate(std::move(item));
+        }
+        else if (current == nullptr) {
+            item.removed = true;
+            retained_.record_departure(std::move(item));
+        }
+    }
+
+    /// Whether the item in force stays so beside a newer one of the store.
+    bool stays_retained(const published_item& offered) const
+    {
+        const auto it = retained_.active().find(offered.key);
+        if (it == retained_.active().end()) {
+            return false;
+        }
+        return offered.removed ? decoder_.is_config(offered.key) : outranks(it->second, offered);
+    }
+
+    /// Whether an item that was in force is newer than one of the store: a later configuration, or
+    /// a target that is leaving or gone and has not written its entry since.
+    bool outranks(const published_item& held, const published_item& offered) const
+    {
+        if (decoder_.is_config(held.key)) {
+            const auto theirs = config_of(offered);
+            return !theirs || *theirs < config_of(held).value_or(config_version{});
+        }
+        const auto old = entry_of(held);
+        const auto offered_entry = entry_of(offered);
+        if (!old || !offered_entry || !(held.removed || old->leaving)) {
+            return false;
+        }
+        return !is_older(*old, *offered_entry);
+    }
+
+    std::optional<config_version> config_of(const published_item& item) const
+    {
+        try {
+            return decoder_.config(item).version;
+        }
+        catch (const invalid_item&) {
+            return std::nullopt;
+        }
+    }
+
+    std::optional<target_entry> entry_of(const published_item& item) const
+    {
+        try {
+            return decoder_.target_id(item.key) ? std::optional(decoder_.target(item))
+                                                : std::nullopt;
+        }
+        catch (const invalid_item&) {
+            return std::nullopt;
+        }
+    }
+
+    void record_departures(const std::vector<published_item>& changed)
+    {
+        for (const auto& item : changed) {
+            if (item.removed && decoder_.target_id(item.key)) {
+                retained_.record_departure(item);
+            }
+        }
+    }
+
+    /// Takes over what another node retains, where it is newer than what is in force here.
+    void adopt(const std::vector<published_item>& items, state_update& update)
+    {
+        for (const auto& item : items) {
+            if (is_news(item)) {
+                retained_.activate(item);
+                apply(item);
+                update.has_adopted = true;
+            }
+        }
+    }
+
+    bool is_news(const published_item& item) const
+    {
+        if (decoder_.is_config(item.key)) {
+            const auto theirs = config_of(item);
+            return theirs && *theirs > config_;
+        }
+        const auto active = retained_.active().find(item.key);
+        const auto* const current =
+            active == retained_.active().end() ? cache_.find(item.key) : &active->second;
+        if (current == nullptr || current->removed || !outranks(item, *current)) {
+            return false;
+        }
+        return item.removed || !leaving_.contains(item.key);
+    }
+
+    void apply(const published_item& item)
+    {
+        try {
+            if (const auto id = decoder_.target_id(item.key)) {
+                apply_target(*id, item);
+            }
+            else if (decoder_.is_config(item.key) && !item.removed) {
+                auto config = decoder_.config(item);
+                config_ = std::max(config_, config.version);
+                sink_.set_config(std::move(config));
+            }
+        }
+        catch (const invalid_item& e) {
+            log_event("item_refused")
+                .add("key", item.key)
+                .add("revision", item.revision)
+                .add("detail", e.what())
+                .warning();
+            if (const auto id = decoder_.target_id(item.key)) {
+                leaving_.erase(item.key);
+                sink_.remove_target(*id);
+            }
+        }
+    }
+
+    void apply_target(const std::string& id, const published_item& item)
+    {
+        if (item.removed) {
+            leaving_.erase(item.key);
+            sink_.remove_target(id);
+            return;
+        }
+        const auto entry = decoder_.target(item);
+        if (entry.leaving) {
+            leaving_.insert(item.key);
+        }
+        else {
+            leaving_.erase(item.key);
+        }
+        retained_.forget_departure(item.key);
+        sink_.put_target(entry);
+    }
+
+    void add_retained(published_changes& changes, config_version config) const
+    {
+        for (const auto& [key, item] : retained_.active()) {
+            if (!decoder_.is_config(key)) {
+                changes.retained.push_back(item);
+                continue;
+            }
+            changes.retained_config = config_;
+            if (config < config_) {
+                changes.retained.push_back(item);
+            }
+        }
+    }
+
+    Decoder decoder_;
+    Sink& sink_;
+    item_cache cache_;
+    retained_items retained_;
+    /// Keys of the targets that are in use and announced that they leave.
+    std::set<std::string> leaving_;
+    config_version config_;
+};
+
+} // namespace trefoil
--- a/libs/relay/src/item_cache.cpp
+++ b/libs/relay/src/item_cache.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace trefoil {
 
@@ -11,11 +12,13 @@
     if (item.revision <= known.revision) {
         return;
     }
+    auto last_value = std::move(known.value);
     known = item;
-    changed.push_back(item);
     if (item.removed) {
+        known.value = std::move(last_value);
         removals_.emplace(item.revision, item.key);
     }
+    changed.push_back(known);
 }
 
 void item_cache::discard_old_removals()
@@ -34,29 +37,36 @@
 
 std::optional<std::vector<published_item>>
 item_cache::merge(const std::vector<published_item>& items, std::uint64_t base,
-                  std::uint64_t revision)
+                  const published_version& version)
 {
-    if (base > revision_) {
+    std::vector<published_item> changed;
+    if (version.era < version_.era) {
+        return changed;
+    }
+    if (version.era > version_.era || base > version_.revision) {
         return std::nullopt;
     }
-    std::vector<published_item> changed;
     for (const auto& item : items) {
         // An item that is not newer than the cached revision and not cached has been removed.
-        if (item.revision > revision_ || items_.contains(item.key)) {
+        if (item.revision > version_.revision || items_.contains(item.key)) {
             apply(item, changed);
         }
     }
-    revision_ = std::max(revision_, revision);
+    version_ = std::max(version_, version);
     discard_old_removals();
     return changed;
 }
 
 std::vector<published_item> item_cache::replace(const std::vector<published_item>& items,
-                                                std::uint64_t revision)
+                                                const published_version& version)
 {
     std::vector<published_item> changed;
-    if (revision < revision_) {
-        return changed; // An outdated read, for example from a lagging store replica.
+    if (version < version_) {
+        return changed; // An outdated read, for example an answer that was late.
+    }
+    if (version.era > version_.era) {
+        version_ = version;
+        return replace_era(items);
     }
     std::set<std::string> present;
     for (const auto& item : items) {
@@ -64,21 +74,64 @@
         apply(item, changed);
     }
     for (auto& [key, item] : items_) {
-        if (!item.removed && !present.contains(key) && item.revision <= revision) {
-            item = {key, {}, revision, true};
-            removals_.emplace(revision, key);
+        if (!item.removed && !present.contains(key) && item.revision <= version.revision) {
+            item.revision = version.revision;
+            item.removed = true;
+            removals_.emplace(version.revision, key);
             changed.push_back(item);
         }
     }
-    revision_ = revision;
+    version_ = version;
     discard_old_removals();
     return changed;
 }
 
-published_changes item_cache::changes_since(std::uint64_t known) const
+std::vector<published_item> item_cache::replace_era(const std::vector<published_item>& items)
 {
-    const bool is_full_state = known < discarded_revision_ || known == 0;
-    published_changes changes{is_full_state ? 0 : known, revision_, {}, {}};
+    std::vector<published_item> changed;
+    const auto before = std::exchange(items_, {});
+    // Revisions of the era before say nothing about those of the new one.
+    removals_.clear();
+    discarded_revision_ = 0;
+    for (const auto& item : items) {
+        auto& current = items_[item.key];
+        if (item.revision <= current.revision) {
+            continue;
+        }
+        current = item;
+        const auto old = before.find(item.key);
+        const bool is_same =
+            old != before.end() && !old->second.removed && old->second.value == item.value;
+        if (!is_same) {
+            changed.push_back(item);
+        }
+    }
+    for (const auto& [key, item] : before) {
+        if (!item.removed && !items_.contains(key)) {
+            changed.push_back({key, item.value, version_.revision, true});
+        }
+    }
+    return changed;
+}
+
+const published_item* item_cache::find(const std::string& key) const
+{
+    const auto it = items_.find(key);
+    return it == items_.end() || it->second.removed ? nullptr : &it->second;
+}
+
+published_changes item_cache::changes_since(const published_version& known) const
+{
+    published_changes changes{known.revision, version_, {}};
+    if (known.era > version_.era) {
+        changes.base = version_.revision;
+        return changes; // Nothing here is newer.
+    }
+    const bool is_full_state =
+        known.era < version_.era || known.revision < discarded_revision_ || known.revision == 0;
+    if (is_full_state) {
+        changes.base = 0;
+    }
     for (const auto& [key, item] : items_) {
         if (item.revision > changes.base && !(is_full_state && item.removed)) {
             changes.items.push_back(item);
--- a/libs/relay/src/node_message.h
+++ b/libs/relay/src/node_message.h
@@ -54,26 +54,29 @@
 
     std::uint64_t revision = 0;
     std::uint32_t contact_age_ms = no_contact;
+    /// Era of the revision; 0 if the sender knows none, or is of a release that sends none.
+    std::uint64_t era = 0;
 
     wire_state_version() = default;
-    explicit wire_state_version(const state_version& version) : revision(version.revision)
+    explicit wire_state_version(const state_version& state)
+        : revision(state.version.revision), era(state.version.era)
     {
-        if (version.contact_age) {
+        if (state.contact_age) {
             contact_age_ms = static_cast<std::uint32_t>(
-                std::min<std::int64_t>(version.contact_age->count(), no_contact - 1));
+                std::min<std::int64_t>(state.contact_age->count(), no_contact - 1));
         }
     }
 
     state_version version() const
     {
-        state_version result{revision, std::nullopt};
+        state_version result{{era, revision}, std::nullopt};
         if (contact_age_ms != no_contact) {
             result.contact_age = std::chrono::milliseconds(contact_age_ms);
         }
         return result;
     }
 
-    MSGPACK_DEFINE(revision, contact_age_ms)
+    MSGPACK_DEFINE(revision, contact_age_ms, era)
 };
 
 /// First message on a connection; identifies the sender.
@@ -159,11 +162,13 @@
     MSGPACK_DEFINE(stream)
 };
 
-/// Requests the changes after the sender's revision. Always answered with a state message.
+/// Requests the changes after the sender's version. Always answered with a state message.
 struct state_request_message {
     wire_state_version version;
+    /// Version of the configuration in force at the sender; 0 if there is none.
+    std::uint64_t config = 0;
 
-    MSGPACK_DEFINE(version)
+    MSGPACK_DEFINE(version, config)
 };
 
 /// Published changes, sent as the answer to a state request or as the push of a change.
@@ -184,8 +189,13 @@
     std::vector<item> items;
     /// Time in milliseconds for which the sender still keeps targets whose entries are missing.
     std::uint32_t confirmation_time_left_ms = 0;
+    /// Items that stay in force at the sender in place of older ones of the store.
+    std::vector<item> retained;
+    /// Version of the sender's configuration if that is one of them; 0 otherwise. The configuration
+    /// itself is sent only to a node that asked and has an older one.
+    std::uint64_t retained_config = 0;
 
-    MSGPACK_DEFINE(version, base, items, confirmation_time_left_ms)
+    MSGPACK_DEFINE(version, base, items, confirmation_time_left_ms, retained, retained_config)
 };
 
 } // namespace trefoil
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -160,7 +160,10 @@
         return {[this] { return exchange.own_version(); },
                 [this](const state_version& version) { return exchange.peer_version(version); },
                 [this](const state_message& state) { return receive_state(state); },
-                [this](std::uint64_t known) { return message_of(exchange.changes_since(known)); }};
+                [this](const published_version& known, config_version config) {
+                    return message_of(exchange.changes_since(known, config));
+                },
+                [this] { return exchange.own_config(); }};
     }
 
     void accept_caller(tcp::socket socket)
@@ -262,7 +265,7 @@
                         },
                         [this](std::uint64_t ticket) { local.cancel(ticket); },
                         [this](const auto& s) {
-                            if (exchange.own_version().revision == 0) {
+                            if (exchange.own_version().version.revision == 0) {
                                 s->request_state();
                             }
                         },
@@ -279,14 +282,19 @@
     state_message message_of(const published_changes& changes) const
     {
         state_message state;
-        state.version = wire_state_version(exchange.own_version());
-        state.version.revision = changes.revision;
+        state.version = wire_state_version({changes.version, exchange.own_version().contact_age});
         state.base = changes.base;
         state.confirmation_time_left_ms =
             static_cast<std::uint32_t>(changes.confirmation_time_left.count());
         for (const auto& item : changes.items) {
-            state.items.push_back({item.key, item.value, item.revision, item.removed});
+            // Peers keep the last value of a removed item themselves.
+            state.items.push_back(
+                {item.key, item.removed ? std::string() : item.value, item.revision, item.removed});
+        }
+        for (const auto& item : changes.retained) {
+            state.retained.push_back({item.key, item.value, item.revision, item.removed});
         }
+        state.retained_config = changes.retained_config.value;
         return state;
     }
 
@@ -294,12 +302,16 @@
     {
         exchange.peer_version(state.version.version());
         published_changes changes{state.base,
-                                  state.version.revision,
+                                  state.version.version().version,
                                   {},
                                   std::chrono::milliseconds(state.confirmation_time_left_ms)};
         for (const auto& item : state.items) {
             changes.items.push_back({item.key, item.value, item.revision, item.removed});
         }
+        for (const auto& item : state.retained) {
+            changes.retained.push_back({item.key, item.value, item.revision, item.removed});
+        }
+        changes.retained_config = config_version{state.retained_config};
         return exchange.received(changes);
     }
 
@@ -497,7 +509,7 @@
     const auto own = impl_->targets.at_address(impl_->settings.upstream.address().to_string(),
                                                impl_->settings.upstream.port());
     if (own && own->entry.id == entry.id) {
-        impl_->local.set_entry(entry);
+        impl_->local.set_entry(own->entry);
     }
 }
 
@@ -521,6 +533,11 @@
     }
 }
 
+void relay_node::on_store_returned()
+{
+    impl_->targets.on_store_returned(boot_clock::now());
+}
+
 void relay_node::request_state(const std::string& address)
 {
     const auto link = impl_->forwarder.links().link_to(address);
--- /dev/null
+++ b/libs/relay/src/retained_items.cpp
@@ -0,0 +1,41 @@
+#include "relay/retained_items.h"
+
+#include <utility>
+
+namespace trefoil {
+
+void retained_items::activate(published_item item)
+{
+    if (item.removed) {
+        record_departure(item);
+    }
+    auto key = item.key;
+    active_.insert_or_assign(std::move(key), std::move(item));
+}
+
+void retained_items::record_departure(published_item item)
+{
+    if (item.value.empty()) {
+        return;
+    }
+    auto key = item.key;
+    if (departed_.insert_or_assign(key, std::move(item)).second) {
+        order_.push_back(std::move(key));
+    }
+    while (order_.size() > max_departed_) {
+        departed_.erase(order_.front());
+        order_.pop_front();
+    }
+}
+
+std::vector<published_item> retained_items::departed() const
+{
+    std::vector<published_item> items;
+    items.reserve(departed_.size());
+    for (const auto& [key, item] : departed_) {
+        items.push_back(item);
+    }
+    return items;
+}
+
+} // namespace trefoil
--- a/libs/relay/src/state_handlers.h
+++ b/libs/relay/src/state_handlers.h
@@ -3,9 +3,9 @@
 #include "node_codec.h"
 #include "node_message.h"
 
+#include "base/versions.h"
 #include "spread/state_version.h"
 
-#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -23,14 +23,18 @@
     /// Applies a peer's changes. Returns true if earlier changes are missing, so that they are to
     /// be requested from the peer.
     std::function<bool(const state_message&)> received;
-    /// Returns the changes that a peer with this revision does not have.
-    std::function<state_message(std::uint64_t known)> changes_since;
+    /// Returns the changes that a peer with this version and configuration does not have.
+    std::function<state_message(const published_version& known, config_version config)>
+        changes_since;
+    /// Returns the version of the configuration in force.
+    std::function<config_version()> own_config;
 
     /// Returns an encoded request for a peer's changes.
     std::string request_text() const
     {
-        return encode_message(node_message_kind::state_request,
-                              state_request_message{wire_state_version(own_version())});
+        return encode_message(
+            node_message_kind::state_request,
+            state_request_message{wire_state_version(own_version()), own_config().value});
     }
 
     /// Handles a state or state_request message. Returns the encoded reply, if there is one. Throws
@@ -39,9 +43,10 @@
     {
         if (message.kind == node_message_kind::state_request) {
             const auto request = decode_fields<state_request_message>(message);
-            peer_version(request.version.version());
+            const auto known = request.version.version();
+            peer_version(known);
             return encode_message(node_message_kind::state,
-                                  changes_since(request.version.revision));
+                                  changes_since(known.version, config_version{request.config}));
         }
         const auto state = decode_fields<state_message>(message);
         return received(state) ? std::optional(request_text()) : std::nullopt;
--- a/libs/relay/tests/relay_fixture.h
+++ b/libs/relay/tests/relay_fixture.h
@@ -76,16 +76,17 @@
         auto& received = v->received;
         v->node->set_state_exchange(
             {[] {
-                 return state_version{1, std::nullopt};
+                 return state_version{{0, 1}, std::nullopt};
              },
              [](const state_version&) { return false; },
              [&received](const published_changes& changes) {
                  received = changes.items;
                  return false;
              },
-             [](std::uint64_t) {
-                 return published_changes{0, 5, {{"key", "value", 5, false}}, {}};
-             }});
+             [](const published_version&, config_version) {
+                 return published_changes{0, {0, 5}, {{"key", "value", 5, false}}, {}};
+             },
+             [] { return config_version(); }});
         v->node->start();
         vms.push_back(std::move(v));
         return *vms.back();
--- a/libs/spread/include/spread/revision_gossip.h
+++ b/libs/spread/include/spread/revision_gossip.h
@@ -9,7 +9,6 @@
 #include "spread/watcher_choice.h"
 
 #include <chrono>
-#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -56,7 +55,7 @@
     std::size_t push_count = 3;
 };
 
-/// Decides which nodes read a store with one revision counter, and how changes reach the others.
+/// Decides which nodes read a store with one version counter, and how changes reach the others.
 ///
 /// Load pattern: hundreds of nodes need each change within two seconds, while each call loads the
 /// store, and not all nodes may call it at once when it becomes available again. A few nodes,
@@ -83,12 +82,12 @@
     void call_answered(mono_time now);
     void call_failed(mono_time now);
 
-    /// Returns the state version for messages of this node, which has all changes up to `revision`.
-    state_version version(std::uint64_t revision, mono_time now);
+    /// Returns the state version for messages of this node, which has all changes up to `own`.
+    state_version version(const published_version& own, mono_time now);
 
-    /// Records the state version in a message of a peer; `own` is the revision of this node.
-    /// Returns whether to pull changes from that peer.
-    bool received(const state_version& theirs, std::uint64_t own, mono_time now);
+    /// Records the state version in a message of a peer; `own` is the version of this node. Returns
+    /// whether to pull changes from that peer.
+    bool received(const state_version& theirs, const published_version& own, mono_time now);
 
     /// Returns the peer for a periodic pull; empty if none is due.
     std::optional<vm_name> next_pull(mono_time now);
--- a/libs/spread/src/revision_gossip.cpp
+++ b/libs/spread/src/revision_gossip.cpp
@@ -83,10 +83,10 @@
     watcher_.call_failed(now, random_);
 }
 
-state_version revision_gossip::version(std::uint64_t revision, mono_time now)
+state_version revision_gossip::version(const published_version& own, mono_time now)
 {
     record_open_watch(now);
-    state_version result{revision, std::nullopt};
+    state_version result{own, std::nullopt};
     if (const auto age = watcher_.contact_age(now)) {
         // Rounded up, so that the age does not decrease when it is forwarded many times.
         result.contact_age = std::chrono::ceil<std::chrono::milliseconds>(*age);
@@ -94,7 +94,7 @@
     return result;
 }
 
-bool revision_gossip::received(const state_version& theirs, std::uint64_t own, mono_time now)
+bool revision_gossip::received(const state_version& theirs, const published_version& own, mono_time now)
 {
     last_received_ = now;
     if (theirs.contact_age) {
@@ -102,7 +102,7 @@
     }
     const bool watches = open_watch_until_ && now < *open_watch_until_;
     const auto wait_limit = watches ? options_.watch_wait_limit : options_.push_wait_limit;
-    return lag_.observe(theirs.revision, own, wait_limit, now);
+    return lag_.observe(theirs.version, own, wait_limit, now);
 }
 
 bool revision_gossip::is_contact_stale(mono_time now)
--- a/libs/spread/tests/revision_fleet.h
+++ b/libs/spread/tests/revision_fleet.h
@@ -53,14 +53,25 @@
         now_ = end;
     }
 
-    /// Publishes a change and returns its revision.
-    std::uint64_t publish()
+    /// Publishes a change.
+    void publish()
     {
-        ++store_revision_;
+        ++store_version_.revision;
         for (auto& waiting : std::exchange(waiting_, {})) {
             answer(waiting);
         }
-        return store_revision_;
+    }
+
+    /// The store returns from a copy of this revision. Open watches are cut.
+    void return_from_copy(std::uint64_t revision)
+    {
+        store_version_ = {store_version_.era + 1, revision};
+        for (const auto& waiting : std::exchange(waiting_, {})) {
+            if (nodes_[waiting.node].incarnation == waiting.incarnation) {
+                at(waiting.node, std::chrono::milliseconds(4),
+                   [this, i = waiting.node] { call_failed(i); });
+            }
+        }
     }
 
     /// Runs until all live nodes except those for which `is_excluded` returns true have the newest
@@ -74,8 +85,7 @@
             run_for(std::chrono::milliseconds(5));
             bool is_done = true;
             for (std::size_t i = 0; i < nodes_.size() && is_done; ++i) {
-                is_done =
-                    !nodes_[i].alive || is_excluded(i) || nodes_[i].revision == store_revision_;
+                is_done = !nodes_[i].alive || is_excluded(i) || nodes_[i].version == store_version_;
             }
             if (is_done) {
                 break;
@@ -118,6 +128,8 @@
 
     std::size_t size() const noexcept { return nodes_.size(); }
     std::uint64_t calls() const noexcept { return calls_; }
+    /// Full reads of all nodes.
+    std::uint64_t reads() const noexcept { return reads_; }
     std::uint64_t messages() const noexcept { return messages_; }
 
     /// Maximum number of store calls by all nodes in any one second since `since`.
@@ -137,7 +149,7 @@
 private:
     struct node {
         std::unique_ptr<revision_gossip> gossip;
-        std::uint64_t revision = 0;
+        published_version version;
         std::uint64_t incarnation = 0;
         bool alive = false;
         bool isolated = false;
@@ -160,7 +172,7 @@
     struct waiting_watch {
         std::size_t node = 0;
         std::uint64_t incarnation = 0;
-        std::uint64_t after = 0;
+        published_version after;
         std::uint64_t number = 0;
     };
 
@@ -190,13 +202,13 @@
 
     state_version version(std::size_t i)
     {
-        return nodes_[i].gossip->version(nodes_[i].revision, now_);
+        return nodes_[i].gossip->version(nodes_[i].version, now_);
     }
 
     /// Processes a message of `from`, with its state version, at `to`.
     void receive(std::size_t from, std::size_t to, const state_version& theirs)
     {
-        if (nodes_[to].gossip->received(theirs, nodes_[to].revision, now_)) {
+        if (nodes_[to].gossip->received(theirs, nodes_[to].version, now_)) {
             pull(to, from);
         }
     }
@@ -207,7 +219,7 @@
             receive(i, peer, theirs);
             send(peer, i, [this, i, peer, answer = version(peer)] {
                 receive(peer, i, answer);
-                apply_revision(i, answer.revision, false);
+                apply_version(i, answer.version, false);
             });
         });
     }
@@ -224,23 +236,27 @@
            [this, i] { request(i); });
     }
 
-    void apply_revision(std::size_t i, std::uint64_t revision, bool from_store)
+    void apply_version(std::size_t i, const published_version& newest, bool from_store)
     {
         auto& n = nodes_[i];
-        const auto known = n.revision;
-        if (revision <= known) {
+        const auto known = n.version;
+        if (newest <= known) {
             return;
         }
-        n.revision = revision;
+        n.version = newest;
         n.gossip->set_members(members_);
-        if (known == 0) {
+        if (known.revision == 0) {
             return;
         }
         for (const auto& name : n.gossip->push_targets(from_store)) {
             const auto to = std::stoul(name.str());
             send(i, to, [this, i, to, theirs = version(i)] {
                 receive(i, to, theirs);
-                apply_revision(to, theirs.revision, false);
+                if (theirs.version.era > nodes_[to].version.era) {
+                    pull(to, i); // Changes of a later era do not follow on an earlier one.
+                    return;
+                }
+                apply_version(to, theirs.version, false);
             });
         }
     }
@@ -280,21 +296,18 @@
         ++calls_;
         ++calls_by_second_[now_.time_since_epoch() / std::chrono::seconds(1)];
         if (!store_up_ || n.rejected) {
-            at(i, std::chrono::milliseconds(4), [this, i] {
-                nodes_[i].gossip->call_failed(now_);
-                nodes_[i].must_read = true;
-                end_call(i);
-            });
+            at(i, std::chrono::milliseconds(4), [this, i] { call_failed(i); });
             return;
         }
         if (std::exchange(n.must_read, false)) {
-            at(i, std::chrono::milliseconds(4), [this, i] { answered(i, store_revision_); });
+            ++reads_;
+            at(i, std::chrono::milliseconds(4), [this, i] { answered(i, store_version_); });
             return;
         }
-        const waiting_watch watch{i, n.incarnation, n.revision, ++last_watch_};
+        const waiting_watch watch{i, n.incarnation, n.version, ++last_watch_};
         const auto wait = draw(1500, 3000);
         n.gossip->watch_started(wait, now_);
-        if (store_revision_ > n.revision) {
+        if (store_version_ > n.version) {
             answer(watch);
             return;
         }
@@ -314,14 +327,33 @@
         const auto& n = nodes_[watch.node];
         if (n.alive && n.incarnation == watch.incarnation) {
             at(watch.node, std::chrono::milliseconds(4),
-               [this, i = watch.node, r = store_revision_] { answered(i, r); });
+               [this, watch, v = store_version_] { watch_answered(watch, v); });
+        }
+    }
+
+    void call_failed(std::size_t i)
+    {
+        nodes_[i].gossip->call_failed(now_);
+        nodes_[i].must_read = true;
+        end_call(i);
+    }
+
+    void watch_answered(const waiting_watch& watch, const published_version& version)
+    {
+        if (version.era == watch.after.era) {
+            answered(watch.node, version);
+            return;
         }
+        auto& n = nodes_[watch.node];
+        n.must_read = version.era > n.version.era;
+        n.gossip->call_answered(now_);
+        end_call(watch.node);
     }
 
-    void answered(std::size_t i, std::uint64_t revision)
+    void answered(std::size_t i, const published_version& version)
     {
         nodes_[i].gossip->call_answered(now_);
-        apply_revision(i, revision, true);
+        apply_version(i, version, true);
         end_call(i);
     }
 
@@ -342,7 +374,8 @@
     std::uint64_t last_order_ = 0;
     std::uint64_t last_incarnation_ = 0;
     std::uint64_t last_watch_ = 0;
-    std::uint64_t store_revision_ = 1;
+    published_version store_version_{1, 1};
+    std::uint64_t reads_ = 0;
     std::uint64_t calls_ = 0;
     std::uint64_t messages_ = 0;
     bool store_up_ = true;
--- a/libs/spread/tests/revision_gossip_test.cpp
+++ b/libs/spread/tests/revision_gossip_test.cpp
@@ -144,3 +144,46 @@
     fleet.run_for(3s);
     CHECK(fleet.calls() - calls <= fleet.size() + max_idle_calls);
 }
+
+// Guards against nodes that stay at the state of before when the store returns from an older copy
+// with lower revisions, and against a full read by every node.
+TEST_CASE_METHOD(revision_gossip_fixture, "revision_spread_store_returns_from_copy_few_full_reads")
+{
+    const auto nodes = GENERATE(std::size_t{30}, std::size_t{300}, std::size_t{2400});
+    auto fleet = started(nodes, 5.0);
+    for (int i = 0; i < 60; ++i) {
+        fleet.publish();
+    }
+    fleet.run_for(3s);
+    const auto reads = fleet.reads();
+    const auto begin = fleet.now();
+    fleet.return_from_copy(20);
+    CHECK(fleet.time_to_all(5s) < propagation_bound);
+    fleet.publish();
+    CHECK(fleet.time_to_all(5s) < propagation_bound);
+    fleet.run_for(10s);
+    // One full read of each watcher at most.
+    CHECK(fleet.reads() - reads <= 3);
+    CHECK(fleet.max_calls_per_second(begin) <= 60);
+}
+
+// Guards against the same if the store is away for a while before its return.
+TEST_CASE_METHOD(revision_gossip_fixture,
+                 "revision_spread_store_returns_from_copy_after_outage_reads_are_spread")
+{
+    auto fleet = started(GENERATE(std::size_t{30}, std::size_t{300}, std::size_t{2400}), 5.0);
+    for (int i = 0; i < 60; ++i) {
+        fleet.publish();
+    }
+    fleet.run_for(3s);
+    fleet.set_store_up(false);
+    const auto begin = fleet.now() + 1s;
+    fleet.run_for(9s);
+    const auto reads = fleet.reads();
+    fleet.return_from_copy(20);
+    fleet.set_store_up(true);
+    CHECK(fleet.time_to_all(5s) < propagation_bound);
+    fleet.run_for(3s);
+    CHECK(fleet.max_calls_per_second(begin) <= 60);
+    CHECK(fleet.reads() - reads <= 60);
+}
