--- a/libs/spread/src/revision_gossip.cpp
+++ b/libs/spread/src/revision_gossip.cpp
@@ -94,7 +94,8 @@
     return result;
 }
 
-bool revision_gossip::received(const state_version& theirs, const published_version& own, mono_time now)
+bool revision_gossip::received(const state_version& theirs, const published_version& own,
+                               mono_time now)
 {
     last_received_ = now;
     if (theirs.contact_age) {
