Compare the states of two nodes by a digest when one takes the other's changes

What callers could see: requests at a target whose entry had been removed (DRAIN), by a node that had asked a peer which had just read everything.

Cause: a full read cannot tell which items were written and removed between the state of before and its own. The node that made it answers a peer between the two with the items that are newer, and pushes the same; neither has those removals, and the peer counted itself complete and kept the target for good.

Evidence: store_replica_removal_unknown_to_the_sender_is_found_by_digest.

Fix: messages with state carry a digest of the keys and revisions of all items at their version (XOR of a hash of each, kept with every change). A node that has merged changes up to that version and has another digest requests the full state of that peer, at most once a second, and takes it over at the same version. A peer that sends no digest is not compared. Sending the full state to every node that is behind a full read was considered: each full read would then cross the whole fleet as a full state.

--- a/libs/relay/include/relay/item_cache.h
+++ b/libs/relay/include/relay/item_cache.h
@@ -2,6 +2,7 @@
 
 #include "relay/published_changes.h"
 #include "relay/published_item.h"
+#include "spread/content_digest.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -46,6 +47,10 @@
     /// Version up to which the state is complete; its revision is 0 if nothing is cached.
     const published_version& version() const noexcept { return version_; }
 
+    /// Digest of the keys and revisions of all items, by which two nodes at the same version
+    /// compare their states. Never 0.
+    content_digest digest() const noexcept { return {digest_ | 1U}; }
+
     /// The cached item; null if there is none or it was removed.
     const published_item* find(const std::string& key) const;
 
@@ -62,6 +67,8 @@
 
 private:
     void apply(const published_item& item, std::vector<published_item>& changed);
+    /// Adds an item to the digest, or takes it out again.
+    void toggle_in_digest(const published_item& item);
     std::vector<published_item> replace_era(const std::vector<published_item>& items);
     void discard_old_removals();
 
@@ -70,6 +77,7 @@
     /// Keys of removed items, by revision.
     std::multimap<std::uint64_t, std::string> removals_;
     published_version version_;
+    std::uint64_t digest_ = 0;
     /// Removals up to this revision may have been discarded.
     std::uint64_t discarded_revision_ = 0;
 };
--- a/libs/relay/include/relay/published_changes.h
+++ b/libs/relay/include/relay/published_changes.h
@@ -2,6 +2,7 @@
 
 #include "base/versions.h"
 #include "relay/published_item.h"
+#include "spread/content_digest.h"
 #include "spread/published_version.h"
 
 #include <chrono>
@@ -10,6 +11,9 @@
 
 namespace trefoil {
 
+/// What a node requests from a peer because of a message that it received.
+enum class state_need : std::uint8_t { nothing, changes, full_state };
+
 /// Changes of the published state, as exchanged between nodes.
 struct published_changes {
     /// The items are all changes after this revision, in the era of `version`; 0 if they are the
@@ -26,6 +30,8 @@
     std::vector<published_item> retained{};
     /// Version of the configuration in force at the sender, if it is retained; 0 otherwise.
     config_version retained_config{};
+    /// Digest of the sender's state at `version`; 0 if it sends none.
+    content_digest digest{};
 };
 
 } // namespace trefoil
--- a/libs/relay/include/relay/relay_node.h
+++ b/libs/relay/include/relay/relay_node.h
@@ -24,8 +24,8 @@
     /// Handles the state version in a peer's message. Returns true if the peer's changes are to be
     /// requested.
     std::function<bool(const state_version&)> peer_version;
-    /// Applies a peer's changes. Returns true if earlier changes are missing.
-    std::function<bool(const published_changes&)> received;
+    /// Applies a peer's changes. Returns what is to be requested from the peer.
+    std::function<state_need(const published_changes&)> received;
     /// Returns the changes that a peer with this version and configuration does not have.
     std::function<published_changes(const published_version& known, config_version config)>
         changes_since;
--- a/libs/relay/include/relay/relay_service.h
+++ b/libs/relay/include/relay/relay_service.h
@@ -75,8 +75,8 @@
 
     enum class update_source : std::uint8_t { store, peer };
 
-    /// Applies changes from a peer. Returns true if the peer has changes that are missing here.
-    bool receive(const published_changes& changes)
+    /// Applies changes from a peer. Returns what is to be requested from it.
+    state_need receive(const published_changes& changes)
     {
         update_availability();
         if (changes.version > state_.version()) {
@@ -85,7 +85,20 @@
         }
         const auto update = state_.receive(changes);
         finish(update, update_source::peer);
-        return update.lacks_changes;
+        return update.need == state_need::full_state ? limit_full_requests() : update.need;
+    }
+
+    /// Bounds how often the full state is requested because of a digest.
+    state_need limit_full_requests()
+    {
+        const auto now = boot_clock::now();
+        if (now < next_full_request_) {
+            return state_need::nothing;
+        }
+        next_full_request_ = now + full_request_interval;
+        log_event("state_differs_from_peer").add("version", state_.version()).info();
+        node_.counters().add("trefoil_state_differences_total");
+        return state_need::full_state;
     }
 
     /// Logs an update and passes it on to peers.
@@ -173,11 +186,16 @@
         });
     }
 
+    /// Minimum time between two such requests. Less than the shortest time in which a known
+    /// deployment requires that a target which has left gets no more requests.
+    static constexpr std::chrono::milliseconds full_request_interval{1000};
+
     relay_node node_;
     store_replica<Decoder, relay_node> state_;
     revision_gossip gossip_;
     published_feed<Reader> feed_;
     asio::steady_timer timer_;
+    mono_time next_full_request_;
     /// The store is assumed available until an outage is detected.
     bool available_ = true;
     /// An outage may have let entries expire unnoticed: this node has known of contact with the
--- a/libs/relay/include/relay/store_replica.h
+++ b/libs/relay/include/relay/store_replica.h
@@ -40,8 +40,8 @@
     std::vector<published_item> items{};
     /// True if items that another node retains were new to this node.
     bool has_adopted = false;
-    /// True if the sender has changes that this node lacks, so that they are to be requested.
-    bool lacks_changes = false;
+    /// What is to be requested from the sender.
+    state_need need = state_need::nothing;
 
     bool is_new_era() const { return before.revision != 0 && after.era > before.era; }
 };
@@ -90,16 +90,21 @@
     state_update receive(const published_changes& changes)
     {
         state_update update{version(), version()};
-        if (changes.version > version()) {
-            if (changes.base == 0) {
-                replace(changes.items, changes.version, update);
-            }
-            else {
-                merge(changes.items, changes.base, changes.version, update);
+        if (changes.base == 0 && (changes.version > version() || differs(changes))) {
+            replace(changes.items, changes.version, update);
+        }
+        else if (changes.version > version()) {
+            merge(changes.items, changes.base, changes.version, update);
+            // A sender that has read everything does not know of items that were written and
+            // removed since its state before.
+            if (differs(changes)) {
+                update.need = state_need::full_state;
             }
         }
         adopt(changes.retained, update);
-        update.lacks_changes = update.lacks_changes || changes.retained_config > config_;
+        if (update.need == state_need::nothing && changes.retained_config > config_) {
+            update.need = state_need::changes;
+        }
         return update;
     }
 
@@ -115,11 +120,19 @@
     published_changes notice() const
     {
         published_changes changes{version().revision, version(), {}};
+        changes.digest = cache_.digest();
         add_retained(changes, config_);
         return changes;
     }
 
 private:
+    /// Whether the sender's state at the version of this node is another one.
+    bool differs(const published_changes& changes) const
+    {
+        return changes.version == version() && changes.digest.value != 0 &&
+               changes.digest != cache_.digest();
+    }
+
     void replace(const std::vector<published_item>& items, const published_version& v,
                  state_update& update)
     {
@@ -146,7 +159,7 @@
     {
         auto changed = cache_.merge(items, base, v);
         if (!changed) {
-            update.lacks_changes = true;
+            update.need = state_need::changes;
             return;
         }
         record_departures(*changed);
--- a/libs/relay/src/item_cache.cpp
+++ b/libs/relay/src/item_cache.cpp
@@ -1,17 +1,29 @@
 #include "relay/item_cache.h"
 
+#include "base/hash.h"
+
 #include <algorithm>
 #include <set>
+#include <string>
 #include <utility>
 
 namespace trefoil {
 
+void item_cache::toggle_in_digest(const published_item& item)
+{
+    if (!item.removed && item.revision != 0) {
+        digest_ ^= hash64(item.key + '@' + std::to_string(item.revision));
+    }
+}
+
 void item_cache::apply(const published_item& item, std::vector<published_item>& changed)
 {
     auto& known = items_[item.key];
     if (item.revision <= known.revision) {
         return;
     }
+    toggle_in_digest(known);
+    toggle_in_digest(item);
     auto last_value = std::move(known.value);
     known = item;
     if (item.removed) {
@@ -75,6 +87,7 @@
     }
     for (auto& [key, item] : items_) {
         if (!item.removed && !present.contains(key) && item.revision <= version.revision) {
+            toggle_in_digest(item);
             item.revision = version.revision;
             item.removed = true;
             removals_.emplace(version.revision, key);
@@ -93,12 +106,15 @@
     // Revisions of the era before say nothing about those of the new one.
     removals_.clear();
     discarded_revision_ = 0;
+    digest_ = 0;
     for (const auto& item : items) {
         auto& current = items_[item.key];
         if (item.revision <= current.revision) {
             continue;
         }
+        toggle_in_digest(current);
         current = item;
+        toggle_in_digest(current);
         const auto old = before.find(item.key);
         const bool is_same =
             old != before.end() && !old->second.removed && old->second.value == item.value;
@@ -123,6 +139,7 @@
 published_changes item_cache::changes_since(const published_version& known) const
 {
     published_changes changes{known.revision, version_, {}};
+    changes.digest = digest();
     if (known.era > version_.era) {
         changes.base = version_.revision;
         return changes; // Nothing here is newer.
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -295,10 +295,11 @@
             state.retained.push_back({item.key, item.value, item.revision, item.removed});
         }
         state.retained_config = changes.retained_config.value;
+        state.digest = changes.digest.value;
         return state;
     }
 
-    bool receive_state(const state_message& state) const
+    state_need receive_state(const state_message& state) const
     {
         exchange.peer_version(state.version.version());
         published_changes changes{state.base,
@@ -312,6 +313,7 @@
             changes.retained.push_back({item.key, item.value, item.revision, item.removed});
         }
         changes.retained_config = config_version{state.retained_config};
+        changes.digest = content_digest{state.digest};
         return exchange.received(changes);
     }
 
--- a/libs/relay/src/state_handlers.h
+++ b/libs/relay/src/state_handlers.h
@@ -4,6 +4,7 @@
 #include "node_message.h"
 
 #include "base/versions.h"
+#include "relay/published_changes.h"
 #include "spread/state_version.h"
 
 #include <functional>
@@ -20,21 +21,23 @@
     /// Handles the state version in a peer's message. Returns true if the peer's changes are to be
     /// requested.
     std::function<bool(const state_version&)> peer_version;
-    /// Applies a peer's changes. Returns true if earlier changes are missing, so that they are to
-    /// be requested from the peer.
-    std::function<bool(const state_message&)> received;
+    /// Applies a peer's changes. Returns what is to be requested from the peer.
+    std::function<state_need(const state_message&)> received;
     /// Returns the changes that a peer with this version and configuration does not have.
     std::function<state_message(const published_version& known, config_version config)>
         changes_since;
     /// Returns the version of the configuration in force.
     std::function<config_version()> own_config;
 
-    /// Returns an encoded request for a peer's changes.
-    std::string request_text() const
+    /// Returns an encoded request for a peer's changes, or for its full state.
+    std::string request_text(state_need need = state_need::changes) const
     {
-        return encode_message(
-            node_message_kind::state_request,
-            state_request_message{wire_state_version(own_version()), own_config().value});
+        auto known = own_version();
+        if (need == state_need::full_state) {
+            known.version.revision = 0;
+        }
+        return encode_message(node_message_kind::state_request,
+                              state_request_message{wire_state_version(known), own_config().value});
     }
 
     /// Handles a state or state_request message. Returns the encoded reply, if there is one. Throws
@@ -49,7 +52,8 @@
                                   changes_since(known.version, config_version{request.config}));
         }
         const auto state = decode_fields<state_message>(message);
-        return received(state) ? std::optional(request_text()) : std::nullopt;
+        const auto need = received(state);
+        return need == state_need::nothing ? std::nullopt : std::optional(request_text(need));
     }
 };
 
--- a/libs/relay/tests/relay_fixture.h
+++ b/libs/relay/tests/relay_fixture.h
@@ -81,7 +81,7 @@
              [](const state_version&) { return false; },
              [&received](const published_changes& changes) {
                  received = changes.items;
-                 return false;
+                 return state_need::nothing;
              },
              [](const published_version&, config_version) {
                  return published_changes{0, {0, 5}, {{"key", "value", 5, false}}, {}};
--- a/libs/relay/tests/store_replica_test.cpp
+++ b/libs/relay/tests/store_replica_test.cpp
@@ -169,7 +169,7 @@
         other.replace({config_item(39, 1), target_item("a", 2, 9), target_item("b", 3, 10)},
                       {1, 8});
     }
-    CHECK_FALSE(pull().lacks_changes);
+    CHECK(pull().need == state_need::nothing);
     CHECK(other.version() == published_version{2, 10});
     CHECK(other_node.config == config_version{43});
     CHECK(other_node.state_of("a") == "leaving");
@@ -190,10 +190,10 @@
     return_from_copy();
     CHECK(replica.notice().retained.empty());
     CHECK(replica.notice().retained_config == config_version{43});
-    CHECK(other.receive(replica.notice()).lacks_changes);
+    CHECK(other.receive(replica.notice()).need == state_need::changes);
     pull();
     CHECK(replica.changes_since(other.version(), other.config()).retained.empty());
-    CHECK_FALSE(other.receive(replica.notice()).lacks_changes);
+    CHECK(other.receive(replica.notice()).need == state_need::nothing);
 }
 
 // Guards against a message of before the return that arrives late and overrules the new era.
@@ -205,7 +205,7 @@
     other.replace({config_item(42, 8), target_item("b", 3, 10)}, {2, 9});
     const auto update = other.receive(late);
     CHECK(update.items.empty());
-    CHECK_FALSE(update.lacks_changes);
+    CHECK(update.need == state_need::nothing);
     CHECK(other.version() == published_version{2, 9});
     CHECK(other_node.config == config_version{42});
 }
@@ -217,8 +217,54 @@
     return_from_copy();
     replica.merge({target_item("d", 11, 1)}, 10, {2, 11});
     const auto update = other.receive(replica.notice());
-    CHECK(update.lacks_changes);
+    CHECK(update.need == state_need::changes);
     CHECK(other.version() == published_version{1, 10});
     CHECK(pull().is_new_era());
     CHECK(other_node.state_of("d") == "ready");
 }
+
+// Guards against a removal that a node misses: one that has just read everything does not know
+// which items were written and removed before, and cannot tell others of them.
+TEST_CASE_METHOD(peers_fixture, "store_replica_removal_unknown_to_the_sender_is_found_by_digest")
+{
+    pull();
+    // Target d is written at revision 11 and removed at 14; only `other` has seen it.
+    other.merge({target_item("d", 11, 1)}, 10, {1, 11});
+    const std::vector<published_item> items = {config_item(40, 1), target_item("a", 2, 10),
+                                               target_item("b", 15, 11)};
+    published_changes message;
+    SECTION("the sender has just started")
+    {
+        plain_node started_node;
+        plain_replica started(plain_items(), started_node);
+        started.replace(items, {1, 15});
+        message = started.changes_since(other.version(), other.config());
+    }
+    SECTION("the sender has read everything again and pushes what is new")
+    {
+        const auto update = replica.replace(items, {1, 15});
+        message = replica.notice();
+        message.base = update.before.revision;
+        message.items = update.items;
+    }
+    replica.replace(items, {1, 15});
+    CHECK(other.receive(message).need == state_need::full_state);
+    const auto full = replica.changes_since({1, 0}, other.config());
+    CHECK(other.receive(full).need == state_need::nothing);
+    CHECK(other_node.state_of("d") == "none");
+    CHECK(other.version() == published_version{1, 15});
+    CHECK(replica.changes_since(other.version(), other.config()).items.empty());
+}
+
+// Guards against full states that are sent for a state that is the same.
+TEST_CASE_METHOD(peers_fixture, "store_replica_same_state_is_not_requested_again")
+{
+    pull();
+    for (std::uint64_t r = 11; r < 40; ++r) {
+        replica.merge({r % 3 == 0 ? removal("b", r) : target_item("b", r, r)}, r - 1, {1, r});
+        CHECK(pull().need == state_need::nothing);
+    }
+    replica.replace(replica.changes_since({}, {}).items, {1, 50});
+    CHECK(pull().need == state_need::nothing);
+    CHECK(other.version() == published_version{1, 50});
+}
