--- a/scripts/failure_tests.sh
+++ b/scripts/failure_tests.sh
@@ -213,6 +213,13 @@
     done
 }
 
+# The sidecar has a store of its own kind, which can return from an older copy.
+store_returned_from_copy() {
+    "${TREFOIL_BUILD_DIR:-build}/platform/tests/store_return/store_return_tests" "[failure]" \
+        >"$dir/store_return.log" 2>&1 || fail "store_returned_from_copy: see $dir/store_return.log"
+    echo "checked: store_returned_from_copy"
+}
+
 dir=$(mktemp -d)
 fleet_objects=samples/serra-gaucha fleet_start failure-tests "$dir" true
 cp "$dir/bundle.toml" "$dir/bundle-1.toml"
@@ -230,6 +237,7 @@
     fleet_ready "$fleet_dir/workload.toml" || fail "the service never served"
     third_of_a_service_paused
     fleet_stop
+    store_returned_from_copy
 fi
 echo "logs and results: $dir"
 [ "$failures" = 0 ] || { echo "$failures failed"; exit 1; }
