Record the departure of a target with the removal that is applied

What callers could see: after returns of the store, requests at a target that had left (DRAIN).

Two faults in what a node remembers of targets that are gone: - An entry and its removal in one answer: the departure was recorded before both were applied, and applying the entry forgot it. The target came back with the next copy. - When the entry of a copy expires, its removal took the place of the newer departure that the node knew. A later copy with an entry between the two then counted as newer.

Evidence: store_replica_entry_and_removal_in_one_answer_is_a_departure and store_replica_departure_keeps_the_newest_known_entry, both failing on the commit before.

Fix: a removal is recorded as it is applied, and only replaces a departure that is not newer.

--- a/libs/relay/include/relay/retained_items.h
+++ b/libs/relay/include/relay/retained_items.h
@@ -37,6 +37,9 @@
     /// The target is in use again.
     void forget_departure(const std::string& key) { departed_.erase(key); }
 
+    /// The last known entry of a target that is gone; null if there is none.
+    const published_item* find_departure(const std::string& key) const;
+
     std::vector<published_item> departed() const;
 
 private:
--- a/libs/relay/include/relay/store_replica.h
+++ b/libs/relay/include/relay/store_replica.h
@@ -148,10 +148,7 @@
                 hold(std::move(item));
             }
         }
-        else {
-            record_departures(changed);
-        }
-        finish(std::move(changed), update);
+        finish(std::move(changed), !is_new_era, update);
     }
 
     void merge(const std::vector<published_item>& items, std::uint64_t base,
@@ -162,16 +159,20 @@
             update.need = state_need::changes;
             return;
         }
-        record_departures(*changed);
-        finish(std::move(*changed), update);
+        finish(std::move(*changed), true, update);
     }
 
-    void finish(std::vector<published_item> changed, state_update& update)
+    /// Puts changed items in force. Removed ones are departures of targets unless the store has
+    /// only lost them.
+    void finish(std::vector<published_item> changed, bool has_departures, state_update& update)
     {
         for (const auto& item : changed) {
             if (!stays_retained(item)) {
                 retained_.deactivate(item.key);
                 apply(item);
+                if (has_departures) {
+                    record_departure(item);
+                }
             }
         }
         update.after = version();
@@ -262,15 +263,23 @@
         }
     }
 
-    void record_departures(const std::vector<published_item>& changed)
+    void record_departure(const published_item& item)
     {
-        for (const auto& item : changed) {
-            if (item.removed && decoder_.target_id(item.key)) {
-                retained_.record_departure(item);
-            }
+        if (item.removed && decoder_.target_id(item.key) && !is_departure_older(item)) {
+            retained_.record_departure(item);
         }
     }
 
+    /// Whether a later entry of the target is known than the last one of its removed item, which
+    /// may be that of a copy.
+    bool is_departure_older(const published_item& item) const
+    {
+        const auto* const known = retained_.find_departure(item.key);
+        const auto last = known == nullptr ? std::nullopt : entry_of(*known);
+        const auto entry = entry_of(item);
+        return last && entry && is_older(*entry, *last);
+    }
+
     /// Takes over what another node retains, where it is newer than what is in force here.
     void adopt(const std::vector<published_item>& items, state_update& update)
     {
--- a/libs/relay/src/retained_items.cpp
+++ b/libs/relay/src/retained_items.cpp
@@ -28,6 +28,12 @@
     }
 }
 
+const published_item* retained_items::find_departure(const std::string& key) const
+{
+    const auto it = departed_.find(key);
+    return it == departed_.end() ? nullptr : &it->second;
+}
+
 std::vector<published_item> retained_items::departed() const
 {
     std::vector<published_item> items;
--- a/libs/relay/tests/store_replica_test.cpp
+++ b/libs/relay/tests/store_replica_test.cpp
@@ -114,6 +114,27 @@
     CHECK(node.state_of("a") == "ready");
 }
 
+// Guards against a departure that is forgotten since the target's last entry came with its removal.
+TEST_CASE_METHOD(replica_fixture, "store_replica_entry_and_removal_in_one_answer_is_a_departure")
+{
+    replica.merge({target_item("a", 11, 11, "leaving"), removal("a", 12)}, 10, {1, 12});
+    return_from_copy();
+    CHECK(node.state_of("a") == "none");
+}
+
+// Guards against an older last entry of a target that takes the place of the newest known one: the
+// copy of a later return may have one in between.
+TEST_CASE_METHOD(replica_fixture, "store_replica_departure_keeps_the_newest_known_entry")
+{
+    replica.merge({target_item("a", 11, 15, "leaving")}, 10, {1, 11});
+    replica.merge({removal("a", 12)}, 11, {1, 12});
+    return_from_copy();
+    replica.merge({removal("a", 11)}, 10, {2, 11});
+    replica.replace({config_item(40, 1), target_item("a", 2, 12), target_item("b", 3, 10)},
+                    {3, 10});
+    CHECK(node.state_of("a") == "none");
+}
+
 // Guards against a target that started again under its id and is taken for the one that left.
 TEST_CASE_METHOD(replica_fixture, "store_replica_new_start_of_target_is_used")
 {
