Bound what a node keeps of removed items

Values over 1 KiB, several times an entry, are not kept. - A target that left and came back kept its old place in the order of departures, by which a recent departure was forgotten early.

--- a/libs/relay/include/relay/item_cache.h
+++ b/libs/relay/include/relay/item_cache.h
@@ -66,7 +66,13 @@
     }
 
 private:
+    /// Longer last values of removed items are not kept; entries of targets have a few hundred
+    /// bytes.
+    static constexpr std::size_t max_kept_value = 1024;
+
     void apply(const published_item& item, std::vector<published_item>& changed);
+    /// Marks an item as removed at a revision.
+    static void mark_removed(published_item& item, std::uint64_t revision);
     /// Adds an item to the digest, or takes it out again.
     void toggle_in_digest(const published_item& item);
     std::vector<published_item> replace_era(const std::vector<published_item>& items);
--- a/libs/relay/include/relay/retained_items.h
+++ b/libs/relay/include/relay/retained_items.h
@@ -35,7 +35,7 @@
     void record_departure(published_item item);
 
     /// The target is in use again.
-    void forget_departure(const std::string& key) { departed_.erase(key); }
+    void forget_departure(const std::string& key);
 
     /// The last known entry of a target that is gone; null if there is none.
     const published_item* find_departure(const std::string& key) const;
--- a/libs/relay/src/item_cache.cpp
+++ b/libs/relay/src/item_cache.cpp
@@ -24,15 +24,26 @@
     }
     toggle_in_digest(known);
     toggle_in_digest(item);
-    auto last_value = std::move(known.value);
-    known = item;
     if (item.removed) {
-        known.value = std::move(last_value);
+        known.key = item.key;
+        mark_removed(known, item.revision);
         removals_.emplace(item.revision, item.key);
     }
+    else {
+        known = item;
+    }
     changed.push_back(known);
 }
 
+void item_cache::mark_removed(published_item& item, std::uint64_t revision)
+{
+    item.revision = revision;
+    item.removed = true;
+    if (item.value.size() > max_kept_value) {
+        item.value = std::string();
+    }
+}
+
 void item_cache::discard_old_removals()
 {
     while (removals_.size() > max_removals_) {
@@ -88,8 +99,7 @@
     for (auto& [key, item] : items_) {
         if (!item.removed && !present.contains(key) && item.revision <= version.revision) {
             toggle_in_digest(item);
-            item.revision = version.revision;
-            item.removed = true;
+            mark_removed(item, version.revision);
             removals_.emplace(version.revision, key);
             changed.push_back(item);
         }
@@ -124,7 +134,8 @@
     }
     for (const auto& [key, item] : before) {
         if (!item.removed && !items_.contains(key)) {
-            changed.push_back({key, item.value, version_.revision, true});
+            changed.push_back(item);
+            mark_removed(changed.back(), version_.revision);
         }
     }
     return changed;
--- a/libs/relay/src/retained_items.cpp
+++ b/libs/relay/src/retained_items.cpp
@@ -34,6 +34,13 @@
     return it == departed_.end() ? nullptr : &it->second;
 }
 
+void retained_items::forget_departure(const std::string& key)
+{
+    if (departed_.erase(key) != 0) {
+        std::erase(order_, key);
+    }
+}
+
 std::vector<published_item> retained_items::departed() const
 {
     std::vector<published_item> items;
--- a/libs/relay/tests/item_cache_test.cpp
+++ b/libs/relay/tests/item_cache_test.cpp
@@ -138,3 +138,13 @@
     CHECK(keys_of(cache.changes_since({2, 10})) == std::vector<std::string>{"+b"});
     CHECK(cache.changes_since({3, 1}).items.empty());
 }
+
+// Guards against large values that stay in memory after their items were removed.
+TEST_CASE_METHOD(item_cache_fixture, "item_cache_large_value_of_removed_item_is_not_kept")
+{
+    cache.replace({{"small", "v", 1, false}, {"large", std::string(5000, 'x'), 2, false}}, at(2));
+    const auto changed = cache.merge({removal("small", 3), removal("large", 4)}, 2, at(4));
+    REQUIRE(changed);
+    CHECK(changed->front().value == "v");
+    CHECK(changed->back().value.empty());
+}
