Use a target again whose entry outlives its departure, and ignore what other eras retain

An entry that nobody writes is removed by the store within three heartbeats (4.5 s), so one that is still there after 30 s is used again, and what other nodes still retain of it is not taken over. - A node paused in an earlier era had the others keep a target out of use that had written its entry since. What a peer retains counts only within the same era. - A retained configuration that cannot be decoded was requested again with every answer, without end. It is not requested again once it was sent.

store_replica_target_that_keeps_its_entry_is_used_again, store_replica_retained_items_of_earlier_era_are_not_adopted, store_replica_unreadable_retained_config_is_requested_once.

--- a/libs/relay/include/relay/store_replica.h
+++ b/libs/relay/include/relay/store_replica.h
@@ -6,14 +6,17 @@
 #include "relay/retained_items.h"
 
 #include "base/log_event.h"
+#include "base/time.h"
 #include "base/versions.h"
 #include "dispatch/target_entry.h"
 #include "dispatch/traffic_config.h"
 
 #include <algorithm>
+#include <chrono>
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -101,13 +104,44 @@
                 update.need = state_need::full_state;
             }
         }
-        adopt(changes.retained, update);
-        if (update.need == state_need::nothing && changes.retained_config > config_) {
-            update.need = state_need::changes;
+        // What a sender in another era retains is about another copy.
+        if (changes.version.era == version().era) {
+            adopt(changes.retained, update);
+            const bool has_config = std::ranges::any_of(changes.retained, [this](const auto& item) {
+                return decoder_.is_config(item.key);
+            });
+            // A configuration that was sent and is not in force cannot be decoded here.
+            if (update.need == state_need::nothing && changes.retained_config > config_ &&
+                !has_config) {
+                update.need = state_need::changes;
+            }
         }
         return update;
     }
 
+    /// Puts targets in use again that were gone before the store returned, and whose entries are
+    /// still in the store after `departure_hold_time`. Call at intervals.
+    void release_departures(mono_time now)
+    {
+        std::vector<std::string> due;
+        for (const auto& [key, item] : retained_.active()) {
+            if (item.removed &&
+                now - held_since_.try_emplace(key, now).first->second >= departure_hold_time) {
+                due.push_back(key);
+            }
+        }
+        std::erase_if(held_since_, [this](const auto& entry) {
+            return !retained_.active().contains(entry.first);
+        });
+        for (const auto& key : due) {
+            release(key);
+        }
+    }
+
+    /// Several times the time after which the store removes the entry of a target that does not
+    /// write it any more (4.5 s in known deployments).
+    static constexpr std::chrono::seconds departure_hold_time{30};
+
     /// Returns the changes that a node lacks with this version and configuration.
     published_changes changes_since(const published_version& known, config_version config) const
     {
@@ -179,6 +213,18 @@
         update.items = std::move(changed);
     }
 
+    void release(const std::string& key)
+    {
+        log_event("departure_released").add("key", key).add("version", version()).info();
+        const auto* const held = &retained_.active().at(key);
+        released_.insert_or_assign(key, *held);
+        retained_.deactivate(key);
+        held_since_.erase(key);
+        if (const auto* const current = cache_.find(key)) {
+            apply(*current);
+        }
+    }
+
     /// Items that are to stay in force if the copy from which the store returns has older ones: the
     /// configuration, and the targets that are leaving or gone.
     std::vector<published_item> held_items() const
@@ -267,6 +313,7 @@
     {
         if (item.removed && decoder_.target_id(item.key) && !is_departure_older(item)) {
             retained_.record_departure(item);
+            released_.erase(item.key);
         }
     }
 
@@ -299,6 +346,12 @@
             return theirs && *theirs > config_;
         }
         const auto active = retained_.active().find(item.key);
+        const bool is_same = active != retained_.active().end() &&
+                             active->second.removed == item.removed &&
+                             active->second.value == item.value;
+        if (is_same || was_released(item)) {
+            return false;
+        }
         const auto* const current =
             active == retained_.active().end() ? cache_.find(item.key) : &active->second;
         if (current == nullptr || current->removed || !outranks(item, *current)) {
@@ -307,6 +360,18 @@
         return item.removed || !leaving_.contains(item.key);
     }
 
+    /// Whether this node has put the target in use again beside this entry or a later one.
+    bool was_released(const published_item& item) const
+    {
+        const auto it = released_.find(item.key);
+        if (it == released_.end()) {
+            return false;
+        }
+        const auto released = entry_of(it->second);
+        const auto offered = entry_of(item);
+        return released && offered && !is_older(*released, *offered);
+    }
+
     void apply(const published_item& item)
     {
         try {
@@ -371,6 +436,11 @@
     /// Keys of the targets that are in use and announced that they leave.
     std::set<std::string> leaving_;
     config_version config_;
+    /// When each target began to be kept out of use in spite of its entry.
+    std::map<std::string, mono_time> held_since_;
+    /// The last known entries of targets that were put in use again, so that no other node has them
+    /// kept out of use once more.
+    std::map<std::string, published_item> released_;
 };
 
 } // namespace trefoil
--- a/libs/relay/tests/store_replica_test.cpp
+++ b/libs/relay/tests/store_replica_test.cpp
@@ -289,3 +289,70 @@
     CHECK(pull().need == state_need::nothing);
     CHECK(other.version() == published_version{1, 50});
 }
+
+// Guards against a live target that is kept out of use for good: its entry expired while it could
+// not reach the store, and the copy has it.
+TEST_CASE_METHOD(peers_fixture, "store_replica_target_that_keeps_its_entry_is_used_again")
+{
+    pull();
+    replica.merge({removal("b", 11)}, 10, {1, 11});
+    pull();
+    return_from_copy();
+    pull();
+    REQUIRE(node.state_of("b") == "none");
+    REQUIRE(other_node.state_of("b") == "none");
+    const auto begin = node.now;
+    replica.release_departures(begin);
+    replica.release_departures(begin + plain_replica::departure_hold_time -
+                               std::chrono::seconds(1));
+    CHECK(node.state_of("b") == "none");
+    replica.release_departures(begin + plain_replica::departure_hold_time);
+    CHECK(node.state_of("b") == "ready");
+    CHECK(replica.retained() == 0);
+    // A node that still keeps it out of use does not change that.
+    CHECK_FALSE(replica.receive(other.notice()).has_adopted);
+    CHECK(node.state_of("b") == "ready");
+    // But that it leaves later does.
+    replica.merge({removal("b", 11)}, 10, {2, 11});
+    return_from_copy(3);
+    CHECK(node.state_of("b") == "none");
+}
+
+// Guards against a paused node of an earlier era that has others keep a live target out of use.
+TEST_CASE_METHOD(peers_fixture, "store_replica_retained_items_of_earlier_era_are_not_adopted")
+{
+    pull();
+    replica.merge({removal("b", 11)}, 10, {1, 11});
+    pull();
+    return_from_copy();
+    pull();
+    REQUIRE(other.retained() == 1);
+    // The target writes again, and the store returns once more; `other` hears of neither.
+    replica.merge({target_item("b", 11, 12)}, 10, {2, 11});
+    return_from_copy(3);
+    CHECK_FALSE(replica.receive(other.notice()).has_adopted);
+    CHECK(node.state_of("b") == "ready");
+}
+
+// Guards against a loop of requests between two nodes for a configuration that cannot be decoded.
+TEST_CASE_METHOD(peers_fixture, "store_replica_unreadable_retained_config_is_requested_once")
+{
+    replica.merge({{"c", "x", 11, false}}, 10, {1, 11});
+    replica.replace({target_item("a", 2, 10)}, {2, 4});
+    CHECK(other.receive(replica.notice()).need == state_need::changes);
+    CHECK(pull().need == state_need::nothing);
+}
+
+// Guards against a departure that is forgotten early, since its target had left and come back
+// before.
+TEST_CASE("retained_items_departure_after_a_return_counts_as_recent")
+{
+    retained_items items(2);
+    items.record_departure({"t/a", "1 1 ready", 1, true});
+    items.forget_departure("t/a");
+    items.record_departure({"t/b", "1 1 ready", 2, true});
+    items.record_departure({"t/a", "1 2 ready", 3, true});
+    items.record_departure({"t/c", "1 1 ready", 4, true});
+    CHECK(items.find_departure("t/a") != nullptr);
+    CHECK(items.find_departure("t/b") == nullptr);
+}
