--- a/libs/relay/include/relay/relay_service.h
+++ b/libs/relay/include/relay/relay_service.h
@@ -61,9 +61,7 @@
     peer_state_exchange exchange()
     {
         return {[this] { return gossip_.version(state_.version(), boot_clock::now()); },
-                [this](const state_version& version) {
-                    return gossip_.received(version, state_.version(), boot_clock::now());
-                },
+                [this](const state_version& theirs) { return observe(theirs); },
                 [this](const published_changes& changes) { return receive(changes); },
                 [this](const published_version& known, config_version config) {
                     auto changes = state_.changes_since(known, config);
@@ -73,6 +71,15 @@
                 [this] { return state_.config(); }};
     }
 
+    bool observe(state_version theirs)
+    {
+        // Contact with the store before it returned says nothing about the store of now.
+        if (theirs.version.era < state_.version().era) {
+            theirs.contact_age.reset();
+        }
+        return gossip_.received(theirs, state_.version(), boot_clock::now());
+    }
+
     enum class update_source : std::uint8_t { store, peer };
 
     /// Applies changes from a peer. Returns what is to be requested from it.
@@ -85,7 +92,12 @@
         }
         const auto update = state_.receive(changes);
         finish(update, update_source::peer);
-        return update.need == state_need::full_state ? limit_full_requests() : update.need;
+        if (update.need == state_need::full_state) {
+            return limit_full_requests();
+        }
+        const bool is_later_era = changes.version.era > state_.version().era;
+        return update.need == state_need::changes && is_later_era ? limit_era_requests()
+                                                                  : update.need;
     }
 
     /// Bounds how often the full state is requested because of a digest.
@@ -101,6 +113,17 @@
         return state_need::full_state;
     }
 
+    /// Several peers tell of a new era at the same time, and each would answer with the full state.
+    state_need limit_era_requests()
+    {
+        const auto now = boot_clock::now();
+        if (now < next_era_request_) {
+            return state_need::nothing;
+        }
+        next_era_request_ = now + era_request_interval;
+        return state_need::changes;
+    }
+
     /// Logs an update and passes it on to peers.
     void finish(const state_update& update, update_source source)
     {
@@ -171,6 +194,7 @@
     {
         const auto now = boot_clock::now();
         update_availability();
+        state_.release_departures(now);
         feed_.wake();
         if (const auto peer = gossip_.next_pull(now)) {
             node_.request_state(peer->str());
@@ -189,6 +213,8 @@
     /// Minimum time between two such requests. Less than the shortest time in which a known
     /// deployment requires that a target which has left gets no more requests.
     static constexpr std::chrono::milliseconds full_request_interval{1000};
+    /// Time for a peer to answer with the full state of a new era, before another one is asked.
+    static constexpr std::chrono::milliseconds era_request_interval{150};
 
     relay_node node_;
     store_replica<Decoder, relay_node> state_;
@@ -196,6 +222,7 @@
     published_feed<Reader> feed_;
     asio::steady_timer timer_;
     mono_time next_full_request_;
+    mono_time next_era_request_;
     /// The store is assumed available until an outage is detected.
     bool available_ = true;
     /// An outage may have let entries expire unnoticed: this node has known of contact with the
