Do not bring a removed target back by a late answer of a watch

Found by the model of the store's return. What callers could see: requests at a target that is gone (DRAIN).

Cause: item_cache::merge takes an item that is not newer than the cache only if its key is cached, since it was removed otherwise. A removed item counted as cached. A target that was removed, registered and removed again unseen came back by a late answer with the registration.

Fix: only an item that is not removed counts.

--- a/libs/relay/src/item_cache.cpp
+++ b/libs/relay/src/item_cache.cpp
@@ -71,7 +71,7 @@
     }
     for (const auto& item : items) {
         // An item that is not newer than the cached revision and not cached has been removed.
-        if (item.revision > version_.revision || items_.contains(item.key)) {
+        if (item.revision > version_.revision || find(item.key) != nullptr) {
             apply(item, changed);
         }
     }
@@ -150,7 +150,6 @@
 published_changes item_cache::changes_since(const published_version& known) const
 {
     published_changes changes{known.revision, version_, {}};
-    changes.digest = digest();
     if (known.era > version_.era) {
         changes.base = version_.revision;
         return changes; // Nothing here is newer.
