Remember departures across eras, and repair a state that cannot be verified

What callers could see: requests at targets that are gone (DRAIN), or a target's entry of before (ROUTE).

- The removal of a target that the copy lacks comes without its last entry, and was not remembered; the next return brought the target back.
The last entries of what a copy lacks are kept for this.
- Departures were consulted only when the era changed.
A read of the new era that is older than one of its pages brought a target back.
They are consulted for each entry offered in a later era than the departure.
They were not new to the node later, so that it left them out of what it pushed, and peers counted themselves complete without them.
A push has all changes since the version before.
- The full state that a node requests since its digest differs was requested once; with the request or its answer lost, the removed items stayed.
And a node with such items passed them on, with an equal digest.
A node now knows that its state is not verified, states no digest until it is, and asks each peer that states another one.

--- a/libs/relay/include/relay/published_changes.h
+++ b/libs/relay/include/relay/published_changes.h
@@ -30,7 +30,7 @@
     std::vector<published_item> retained{};
     /// Version of the configuration in force at the sender, if it is retained; 0 otherwise.
     config_version retained_config{};
-    /// Digest of the sender's state at `version`; 0 if it sends none.
+    /// Digest of the sender's state at `version`; 0 if it is not to be compared.
     content_digest digest{};
 };
 
--- a/libs/relay/include/relay/relay_service.h
+++ b/libs/relay/include/relay/relay_service.h
@@ -142,25 +142,13 @@
         if (update.before.revision == 0) {
             return; // The initial full state is not pushed: other nodes are at least as recent.
         }
-        const auto changes = changes_to_push(update);
+        auto changes = state_.changes_to_push(update);
+        changes.confirmation_time_left = node_.confirmation_time_left();
         for (const auto& peer : gossip_.push_targets(source == update_source::store)) {
             node_.push_state(peer.str(), changes);
         }
     }
 
-    published_changes changes_to_push(const state_update& update) const
-    {
-        auto changes = state_.notice();
-        // Changes of a later era do not follow on the state that a peer has. It requests the full
-        // state when it learns of the era.
-        if (!update.is_new_era() && !update.items.empty()) {
-            changes.base = update.before.revision;
-            changes.items = update.items;
-        }
-        changes.confirmation_time_left = node_.confirmation_time_left();
-        return changes;
-    }
-
     void log_new_era(const state_update& update, update_source source)
     {
         const auto removed = std::ranges::count_if(
--- a/libs/relay/include/relay/retained_items.h
+++ b/libs/relay/include/relay/retained_items.h
@@ -3,6 +3,7 @@
 #include "relay/published_item.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
@@ -26,26 +27,33 @@
     /// Items that stay in force, by key.
     const std::map<std::string, published_item>& active() const noexcept { return active_; }
 
-    /// Keeps an item in force. One that is removed is remembered as a departure, too.
-    void activate(published_item item);
+    /// The last entry of a target that is gone.
+    struct departure {
+        published_item item;
+        /// Era in which the target left.
+        std::uint64_t era = 0;
+    };
+
+    /// Keeps an item in force.
+    void activate(const published_item& item) { active_.insert_or_assign(item.key, item); }
     void deactivate(const std::string& key) { active_.erase(key); }
     void clear_active() { active_.clear(); }
 
     /// Remembers the last value of a removed item; ignored if that is not known.
-    void record_departure(published_item item);
+    void record_departure(departure d);
 
     /// The target is in use again.
     void forget_departure(const std::string& key);
 
     /// The last known entry of a target that is gone; null if there is none.
-    const published_item* find_departure(const std::string& key) const;
+    const departure* find_departure(const std::string& key) const;
 
     std::vector<published_item> departed() const;
 
 private:
     std::size_t max_departed_;
     std::map<std::string, published_item> active_;
-    std::map<std::string, published_item> departed_;
+    std::map<std::string, departure> departed_;
     /// Keys of `departed_` in the order in which they were first recorded.
     std::deque<std::string> order_;
 };
--- a/libs/relay/include/relay/store_replica.h
+++ b/libs/relay/include/relay/store_replica.h
@@ -93,14 +93,18 @@
     state_update receive(const published_changes& changes)
     {
         state_update update{version(), version()};
-        if (changes.base == 0 && (changes.version > version() || differs(changes))) {
+        const bool is_repair = is_unverified_ && differs(changes);
+        if (changes.base == 0 && (changes.version > version() || is_repair)) {
             replace(changes.items, changes.version, update);
+            is_unverified_ = changes.digest.value == 0;
         }
         else if (changes.version > version()) {
             merge(changes.items, changes.base, changes.version, update);
-            // A sender that has read everything does not know of items that were written and
-            // removed since its state before.
-            if (differs(changes)) {
+            is_unverified_ = is_unverified_ || changes.digest.value == 0 || differs(changes);
+        }
+        if (is_unverified_ && changes.version == version() && changes.digest.value != 0) {
+            is_unverified_ = differs(changes);
+            if (is_unverified_) {
                 update.need = state_need::full_state;
             }
         }
@@ -146,20 +150,37 @@
     published_changes changes_since(const published_version& known, config_version config) const
     {
         auto changes = cache_.changes_since(known);
+        changes.digest = stated_digest();
         add_retained(changes, config);
         return changes;
     }
 
+    /// Returns what to push to peers after an update. Changes of a new era do not follow on the
+    /// state that they have; they request the full state when they learn of the era.
+    published_changes changes_to_push(const state_update& update) const
+    {
+        // Not only what was new here: an item that a page had before its version has been reached
+        // is new to others.
+        return update.is_new_era() || update.items.empty() ? notice()
+                                                           : changes_since(update.before, config_);
+    }
+
     /// Tells a node of the version and of retained items, without the changes.
     published_changes notice() const
     {
         published_changes changes{version().revision, version(), {}};
-        changes.digest = cache_.digest();
+        changes.digest = stated_digest();
         add_retained(changes, config_);
         return changes;
     }
 
 private:
+    /// 0 if other nodes are not to compare theirs with it.
+    content_digest stated_digest() const
+    {
+        return is_unverified_ ? content_digest{} : cache_.digest();
+    }
+
     /// Whether the sender's state at the version of this node is another one.
     bool differs(const published_changes& changes) const
     {
@@ -173,16 +194,17 @@
         if (v < version()) {
             return;
         }
+        is_unverified_ = false;
         const bool is_new_era = is_return(v);
         auto held = is_new_era ? held_items() : std::vector<published_item>();
         auto changed = cache_.replace(items, v);
         if (is_new_era) {
             retained_.clear_active();
-            for (auto& item : held) {
-                hold(std::move(item));
+            for (const auto& item : held) {
+                hold(item, update.before.era);
             }
         }
-        finish(std::move(changed), !is_new_era, update);
+        finish(std::move(changed), is_new_era, update);
     }
 
     void merge(const std::vector<published_item>& items, std::uint64_t base,
@@ -193,20 +215,24 @@
             update.need = state_need::changes;
             return;
         }
-        finish(std::move(*changed), true, update);
+        finish(std::move(*changed), false, update);
     }
 
-    /// Puts changed items in force. Removed ones are departures of targets unless the store has
+    /// Puts changed items in force. Those that a new era lacks are no departures: the store has
     /// only lost them.
-    void finish(std::vector<published_item> changed, bool has_departures, state_update& update)
+    void finish(std::vector<published_item> changed, bool is_new_era, state_update& update)
     {
         for (const auto& item : changed) {
-            if (!stays_retained(item)) {
-                retained_.deactivate(item.key);
-                apply(item);
-                if (has_departures) {
-                    record_departure(item);
-                }
+            if (const auto* const departed = departure_that_outranks(item)) {
+                retained_.activate(*departed);
+            }
+            if (stays_retained(item)) {
+                continue;
+            }
+            retained_.deactivate(item.key);
+            apply(item);
+            if (item.removed && decoder_.target_id(item.key)) {
+                is_new_era ? record_loss(item) : record_departure(item, version().era);
             }
         }
         update.after = version();
@@ -245,23 +271,34 @@
     }
 
     /// Keeps an item of the earlier era in force if the new one has none or an older one.
-    void hold(published_item item)
+    void hold(const published_item& item, std::uint64_t era)
     {
         const auto* const current = cache_.find(item.key);
-        if (decoder_.is_config(item.key)) {
-            if (current == nullptr || outranks(item, *current)) {
-                retained_.activate(std::move(item));
+        if (current != nullptr) {
+            if (outranks(item, *current)) {
+                retained_.activate(item);
             }
         }
-        else if (current != nullptr && outranks(item, *current)) {
-            retained_.activate(std::move(item));
+        else if (decoder_.is_config(item.key)) {
+            retained_.activate(item);
         }
-        else if (current == nullptr) {
-            item.removed = true;
-            retained_.record_departure(std::move(item));
+        else if (!item.removed) {
+            auto departed = item;
+            departed.removed = true;
+            record_departure(departed, era);
         }
     }
 
+    /// The departure of a target in an earlier era that is newer than an entry of the store, which
+    /// is that of the copy; null if there is none.
+    const published_item* departure_that_outranks(const published_item& offered) const
+    {
+        const auto* const departed = retained_.find_departure(offered.key);
+        const bool is_newer = departed != nullptr && departed->era < version().era &&
+                              !offered.removed && outranks(departed->item, offered);
+        return is_newer ? &departed->item : nullptr;
+    }
+
     /// Whether the item in force stays so beside a newer one of the store.
     bool stays_retained(const published_item& offered) const
     {
@@ -309,20 +346,34 @@
         }
     }
 
-    void record_departure(const published_item& item)
+    void record_departure(const published_item& item, std::uint64_t era)
     {
-        if (item.removed && decoder_.target_id(item.key) && !is_departure_older(item)) {
-            retained_.record_departure(item);
+        auto departed = item;
+        const auto lost = lost_.find(item.key);
+        if (departed.value.empty() && lost != lost_.end()) {
+            departed.value = lost->second;
+        }
+        if (!is_departure_older(departed)) {
+            retained_.record_departure({std::move(departed), era});
             released_.erase(item.key);
         }
     }
 
+    /// Remembers the last entry of a target that the copy lacks. The target may leave before it has
+    /// written its entry again.
+    void record_loss(const published_item& item)
+    {
+        if (lost_.size() < retained_items::default_max_departed) {
+            lost_.insert_or_assign(item.key, item.value);
+        }
+    }
+
     /// Whether a later entry of the target is known than the last one of its removed item, which
     /// may be that of a copy.
     bool is_departure_older(const published_item& item) const
     {
         const auto* const known = retained_.find_departure(item.key);
-        const auto last = known == nullptr ? std::nullopt : entry_of(*known);
+        const auto last = known == nullptr ? std::nullopt : entry_of(known->item);
         const auto entry = entry_of(item);
         return last && entry && is_older(*entry, *last);
     }
@@ -334,6 +385,10 @@
             if (is_news(item)) {
                 retained_.activate(item);
                 apply(item);
+                if (item.removed) {
+                    record_departure(item,
+                                     version().era - std::min<std::uint64_t>(version().era, 1));
+                }
                 update.has_adopted = true;
             }
         }
@@ -412,6 +467,7 @@
             leaving_.erase(item.key);
         }
         retained_.forget_departure(item.key);
+        lost_.erase(item.key);
         sink_.put_target(entry);
     }
 
@@ -436,6 +492,12 @@
     /// Keys of the targets that are in use and announced that they leave.
     std::set<std::string> leaving_;
     config_version config_;
+    /// Items may be left that were removed: the changes to this version came from a node that had
+    /// read everything, and so could not know of them, or from one in this state. Ends with a full
+    /// state, or when a peer that is not in this state has the same items.
+    bool is_unverified_ = false;
+    /// Last entries of targets that the copy lacks, by key.
+    std::map<std::string, std::string> lost_;
     /// When each target began to be kept out of use in spite of its entry.
     std::map<std::string, mono_time> held_since_;
     /// The last known entries of targets that were put in use again, so that no other node has them
--- a/libs/relay/src/retained_items.cpp
+++ b/libs/relay/src/retained_items.cpp
@@ -4,22 +4,13 @@
 
 namespace trefoil {
 
-void retained_items::activate(published_item item)
+void retained_items::record_departure(departure d)
 {
-    if (item.removed) {
-        record_departure(item);
-    }
-    auto key = item.key;
-    active_.insert_or_assign(std::move(key), std::move(item));
-}
-
-void retained_items::record_departure(published_item item)
-{
-    if (item.value.empty()) {
+    if (d.item.value.empty()) {
         return;
     }
-    auto key = item.key;
-    if (departed_.insert_or_assign(key, std::move(item)).second) {
+    auto key = d.item.key;
+    if (departed_.insert_or_assign(key, std::move(d)).second) {
         order_.push_back(std::move(key));
     }
     while (order_.size() > max_departed_) {
@@ -28,7 +19,7 @@
     }
 }
 
-const published_item* retained_items::find_departure(const std::string& key) const
+const retained_items::departure* retained_items::find_departure(const std::string& key) const
 {
     const auto it = departed_.find(key);
     return it == departed_.end() ? nullptr : &it->second;
@@ -45,8 +36,8 @@
 {
     std::vector<published_item> items;
     items.reserve(departed_.size());
-    for (const auto& [key, item] : departed_) {
-        items.push_back(item);
+    for (const auto& [key, departed] : departed_) {
+        items.push_back(departed.item);
     }
     return items;
 }
--- a/libs/relay/tests/store_replica_test.cpp
+++ b/libs/relay/tests/store_replica_test.cpp
@@ -263,13 +263,12 @@
     }
     SECTION("the sender has read everything again and pushes what is new")
     {
-        const auto update = replica.replace(items, {1, 15});
-        message = replica.notice();
-        message.base = update.before.revision;
-        message.items = update.items;
+        message = replica.changes_to_push(replica.replace(items, {1, 15}));
     }
     replica.replace(items, {1, 15});
     CHECK(other.receive(message).need == state_need::full_state);
+    // The request or its answer may be lost.
+    CHECK(other.receive(replica.notice()).need == state_need::full_state);
     const auto full = replica.changes_since({1, 0}, other.config());
     CHECK(other.receive(full).need == state_need::nothing);
     CHECK(other_node.state_of("d") == "none");
@@ -348,11 +347,11 @@
 TEST_CASE("retained_items_departure_after_a_return_counts_as_recent")
 {
     retained_items items(2);
-    items.record_departure({"t/a", "1 1 ready", 1, true});
+    items.record_departure({{"t/a", "1 1 ready", 1, true}, 1});
     items.forget_departure("t/a");
-    items.record_departure({"t/b", "1 1 ready", 2, true});
-    items.record_departure({"t/a", "1 2 ready", 3, true});
-    items.record_departure({"t/c", "1 1 ready", 4, true});
+    items.record_departure({{"t/b", "1 1 ready", 2, true}, 1});
+    items.record_departure({{"t/a", "1 2 ready", 3, true}, 1});
+    items.record_departure({{"t/c", "1 1 ready", 4, true}, 1});
     CHECK(items.find_departure("t/a") != nullptr);
     CHECK(items.find_departure("t/b") == nullptr);
 }
