Take changes without all removals over only if the digest agrees

Cause: a node whose state could not be verified stated no digest, and those that took its changes over counted as not verified, too; in the end no node was left to compare with.

Change: no node takes over what it cannot verify. A message says whether its items have all removals since its base; after a full read the sender cannot know them. Such items are merged only if the digest that the state would then have is that of the sender. Otherwise the node stays at its version, so that it asks again if a request or an answer is lost, and takes the full state over.

--- a/libs/relay/include/relay/item_cache.h
+++ b/libs/relay/include/relay/item_cache.h
@@ -47,6 +47,12 @@
     /// Version up to which the state is complete; its revision is 0 if nothing is cached.
     const published_version& version() const noexcept { return version_; }
 
+    /// Whether the state would have this digest with the items merged.
+    bool has_digest_with(const std::vector<published_item>& items, content_digest digest) const;
+
+    /// The removals up to the cached version may not all be known, as after a full read.
+    void forget_removals() { read_revision_ = version_.revision; }
+
     /// Digest of the keys and revisions of all items, by which two nodes at the same version
     /// compare their states. Never 0.
     content_digest digest() const noexcept { return {digest_ | 1U}; }
@@ -73,8 +79,10 @@
     void apply(const published_item& item, std::vector<published_item>& changed);
     /// Marks an item as removed at a revision.
     static void mark_removed(published_item& item, std::uint64_t revision);
-    /// Adds an item to the digest, or takes it out again.
-    void toggle_in_digest(const published_item& item);
+    /// Whether a merge would take the item over.
+    bool is_news(const published_item& item) const;
+    /// Digest of a single item; 0 if it is removed. That of the state is the XOR of all.
+    static std::uint64_t digest_of(const published_item& item);
     std::vector<published_item> replace_era(const std::vector<published_item>& items);
     void discard_old_removals();
 
@@ -86,6 +94,8 @@
     std::uint64_t digest_ = 0;
     /// Removals up to this revision may have been discarded.
     std::uint64_t discarded_revision_ = 0;
+    /// Removals up to this revision may not be known, since all items were read.
+    std::uint64_t read_revision_ = 0;
 };
 
 } // namespace trefoil
--- a/libs/relay/include/relay/published_changes.h
+++ b/libs/relay/include/relay/published_changes.h
@@ -30,8 +30,11 @@
     std::vector<published_item> retained{};
     /// Version of the configuration in force at the sender, if it is retained; 0 otherwise.
     config_version retained_config{};
-    /// Digest of the sender's state at `version`; 0 if it is not to be compared.
+    /// Digest of the sender's state at `version`; 0 if it sends none.
     content_digest digest{};
+    /// False if the sender may not know of all removals since `base`: it has read everything since,
+    /// and items may have been written and removed in between.
+    bool has_all_removals = true;
 };
 
 } // namespace trefoil
--- a/libs/relay/include/relay/store_replica.h
+++ b/libs/relay/include/relay/store_replica.h
@@ -93,19 +93,12 @@
     state_update receive(const published_changes& changes)
     {
         state_update update{version(), version()};
-        const bool is_repair = is_unverified_ && differs(changes);
-        if (changes.base == 0 && (changes.version > version() || is_repair)) {
-            replace(changes.items, changes.version, update);
-            is_unverified_ = changes.digest.value == 0;
-        }
-        else if (changes.version > version()) {
-            merge(changes.items, changes.base, changes.version, update);
-            is_unverified_ = is_unverified_ || changes.digest.value == 0 || differs(changes);
-        }
-        if (is_unverified_ && changes.version == version() && changes.digest.value != 0) {
-            is_unverified_ = differs(changes);
-            if (is_unverified_) {
-                update.need = state_need::full_state;
+        if (changes.version > version()) {
+            if (changes.base == 0) {
+                replace(changes.items, changes.version, update);
+            }
+            else {
+                merge(changes, update);
             }
         }
         // What a sender in another era retains is about another copy.
@@ -150,7 +143,6 @@
     published_changes changes_since(const published_version& known, config_version config) const
     {
         auto changes = cache_.changes_since(known);
-        changes.digest = stated_digest();
         add_retained(changes, config);
         return changes;
     }
@@ -169,23 +161,27 @@
     published_changes notice() const
     {
         published_changes changes{version().revision, version(), {}};
-        changes.digest = stated_digest();
+        changes.digest = cache_.digest();
         add_retained(changes, config_);
         return changes;
     }
 
 private:
-    /// 0 if other nodes are not to compare theirs with it.
-    content_digest stated_digest() const
-    {
-        return is_unverified_ ? content_digest{} : cache_.digest();
-    }
-
-    /// Whether the sender's state at the version of this node is another one.
-    bool differs(const published_changes& changes) const
+    /// Merges what another node sent. Items that it cannot know to be removed show in the digest;
+    /// then nothing is merged, and the full state is needed.
+    void merge(const published_changes& changes, state_update& update)
     {
-        return changes.version == version() && changes.digest.value != 0 &&
-               changes.digest != cache_.digest();
+        const bool follows =
+            changes.version.era == version().era && changes.base <= version().revision;
+        if (follows && !changes.has_all_removals &&
+            !cache_.has_digest_with(changes.items, changes.digest)) {
+            update.need = state_need::full_state;
+            return;
+        }
+        merge(changes.items, changes.base, changes.version, update);
+        if (follows && !changes.has_all_removals) {
+            cache_.forget_removals();
+        }
     }
 
     void replace(const std::vector<published_item>& items, const published_version& v,
@@ -194,7 +190,6 @@
         if (v < version()) {
             return;
         }
-        is_unverified_ = false;
         const bool is_new_era = is_return(v);
         auto held = is_new_era ? held_items() : std::vector<published_item>();
         auto changed = cache_.replace(items, v);
@@ -492,10 +487,6 @@
     /// Keys of the targets that are in use and announced that they leave.
     std::set<std::string> leaving_;
     config_version config_;
-    /// Items may be left that were removed: the changes to this version came from a node that had
-    /// read everything, and so could not know of them, or from one in this state. Ends with a full
-    /// state, or when a peer that is not in this state has the same items.
-    bool is_unverified_ = false;
     /// Last entries of targets that the copy lacks, by key.
     std::map<std::string, std::string> lost_;
     /// When each target began to be kept out of use in spite of its entry.
--- a/libs/relay/src/item_cache.cpp
+++ b/libs/relay/src/item_cache.cpp
@@ -9,11 +9,33 @@
 
 namespace trefoil {
 
-void item_cache::toggle_in_digest(const published_item& item)
+std::uint64_t item_cache::digest_of(const published_item& item)
 {
-    if (!item.removed && item.revision != 0) {
-        digest_ ^= hash64(item.key + '@' + std::to_string(item.revision));
+    const bool is_present = !item.removed && item.revision != 0;
+    return is_present ? hash64(item.key + '@' + std::to_string(item.revision)) : 0;
+}
+
+bool item_cache::is_news(const published_item& item) const
+{
+    const auto it = items_.find(item.key);
+    const bool is_cached = it != items_.end();
+    // An item that is not newer than the cached version and not cached has been removed.
+    const bool may_be_present =
+        item.revision > version_.revision || (is_cached && !it->second.removed);
+    return may_be_present && (!is_cached || item.revision > it->second.revision);
+}
+
+bool item_cache::has_digest_with(const std::vector<published_item>& items,
+                                 content_digest digest) const
+{
+    auto merged = digest_;
+    for (const auto& item : items) {
+        if (is_news(item)) {
+            const auto it = items_.find(item.key);
+            merged ^= digest_of(item) ^ (it == items_.end() ? 0 : digest_of(it->second));
+        }
     }
+    return (merged | 1U) == digest.value;
 }
 
 void item_cache::apply(const published_item& item, std::vector<published_item>& changed)
@@ -22,8 +44,7 @@
     if (item.revision <= known.revision) {
         return;
     }
-    toggle_in_digest(known);
-    toggle_in_digest(item);
+    digest_ ^= digest_of(known) ^ digest_of(item);
     if (item.removed) {
         known.key = item.key;
         mark_removed(known, item.revision);
@@ -70,8 +91,7 @@
         return std::nullopt;
     }
     for (const auto& item : items) {
-        // An item that is not newer than the cached revision and not cached has been removed.
-        if (item.revision > version_.revision || find(item.key) != nullptr) {
+        if (is_news(item)) {
             apply(item, changed);
         }
     }
@@ -98,13 +118,16 @@
     }
     for (auto& [key, item] : items_) {
         if (!item.removed && !present.contains(key) && item.revision <= version.revision) {
-            toggle_in_digest(item);
+            digest_ ^= digest_of(item);
             mark_removed(item, version.revision);
             removals_.emplace(version.revision, key);
             changed.push_back(item);
         }
     }
-    version_ = version;
+    if (version > version_) {
+        version_ = version;
+        forget_removals();
+    }
     discard_old_removals();
     return changed;
 }
@@ -116,15 +139,15 @@
     // Revisions of the era before say nothing about those of the new one.
     removals_.clear();
     discarded_revision_ = 0;
+    forget_removals();
     digest_ = 0;
     for (const auto& item : items) {
         auto& current = items_[item.key];
         if (item.revision <= current.revision) {
             continue;
         }
-        toggle_in_digest(current);
+        digest_ ^= digest_of(current) ^ digest_of(item);
         current = item;
-        toggle_in_digest(current);
         const auto old = before.find(item.key);
         const bool is_same =
             old != before.end() && !old->second.removed && old->second.value == item.value;
@@ -159,6 +182,8 @@
     if (is_full_state) {
         changes.base = 0;
     }
+    changes.digest = digest();
+    changes.has_all_removals = is_full_state || known.revision >= read_revision_;
     for (const auto& [key, item] : items_) {
         if (item.revision > changes.base && !(is_full_state && item.removed)) {
             changes.items.push_back(item);
--- a/libs/relay/src/node_message.h
+++ b/libs/relay/src/node_message.h
@@ -194,12 +194,13 @@
     /// Version of the sender's configuration if that is one of them; 0 otherwise. The configuration
     /// itself is sent only to a node that asked and has an older one.
     std::uint64_t retained_config = 0;
-    /// Digest of the sender's state at `version`; 0 if it is not to be compared, or if the sender
-    /// is of a release that sends none.
+    /// Digest of the sender's state at `version`; 0 if it is of a release that sends none.
     std::uint64_t digest = 0;
+    /// Whether the items are known to have all removals since `base`.
+    bool has_all_removals = true;
 
     MSGPACK_DEFINE(version, base, items, confirmation_time_left_ms, retained, retained_config,
-                   digest)
+                   digest, has_all_removals)
 };
 
 } // namespace trefoil
--- a/libs/relay/src/relay_node.cpp
+++ b/libs/relay/src/relay_node.cpp
@@ -296,6 +296,7 @@
         }
         state.retained_config = changes.retained_config.value;
         state.digest = changes.digest.value;
+        state.has_all_removals = changes.has_all_removals;
         return state;
     }
 
@@ -314,6 +315,7 @@
         }
         changes.retained_config = config_version{state.retained_config};
         changes.digest = content_digest{state.digest};
+        changes.has_all_removals = state.has_all_removals;
         return exchange.received(changes);
     }
 
