Count the time of a departure only while the store is heard of

Cause: departure_hold_time rests on the store removing entries that nobody writes, which a node without contact does not see. The time now begins anew while nothing is heard of the store.

--- a/libs/relay/include/relay/relay_service.h
+++ b/libs/relay/include/relay/relay_service.h
@@ -182,7 +182,7 @@
     {
         const auto now = boot_clock::now();
         update_availability();
-        state_.release_departures(now);
+        state_.release_departures(now, available_);
         feed_.wake();
         if (const auto peer = gossip_.next_pull(now)) {
             node_.request_state(peer->str());
--- a/libs/relay/include/relay/store_replica.h
+++ b/libs/relay/include/relay/store_replica.h
@@ -117,9 +117,14 @@
     }
 
     /// Puts targets in use again that were gone before the store returned, and whose entries are
-    /// still in the store after `departure_hold_time`. Call at intervals.
-    void release_departures(mono_time now)
+    /// still in the store after `departure_hold_time`. Call at intervals. The time begins anew
+    /// while nothing is heard of the store, since an entry may then be gone unnoticed.
+    void release_departures(mono_time now, bool has_contact)
     {
+        if (!has_contact) {
+            held_since_.clear();
+            return;
+        }
         std::vector<std::string> due;
         for (const auto& [key, item] : retained_.active()) {
             if (item.removed &&
--- a/libs/relay/tests/store_replica_test.cpp
+++ b/libs/relay/tests/store_replica_test.cpp
@@ -301,11 +301,11 @@
     REQUIRE(node.state_of("b") == "none");
     REQUIRE(other_node.state_of("b") == "none");
     const auto begin = node.now;
-    replica.release_departures(begin);
-    replica.release_departures(begin + plain_replica::departure_hold_time -
-                               std::chrono::seconds(1));
+    replica.release_departures(begin, true);
+    replica.release_departures(begin + plain_replica::departure_hold_time - std::chrono::seconds(1),
+                               true);
     CHECK(node.state_of("b") == "none");
-    replica.release_departures(begin + plain_replica::departure_hold_time);
+    replica.release_departures(begin + plain_replica::departure_hold_time, true);
     CHECK(node.state_of("b") == "ready");
     CHECK(replica.retained() == 0);
     // A node that still keeps it out of use does not change that.
@@ -355,3 +355,20 @@
     CHECK(items.find_departure("t/a") != nullptr);
     CHECK(items.find_departure("t/b") == nullptr);
 }
+
+// Guards against a node that is cut from the store, and uses a target again whose entry may be
+// gone.
+TEST_CASE_METHOD(replica_fixture, "store_replica_without_contact_no_departure_is_released")
+{
+    replica.merge({removal("b", 11)}, 10, {1, 11});
+    return_from_copy();
+    const auto begin = node.now;
+    const auto hold_time = plain_replica::departure_hold_time;
+    replica.release_departures(begin, true);
+    replica.release_departures(begin + hold_time, false);
+    CHECK(node.state_of("b") == "none");
+    replica.release_departures(begin + hold_time, true);
+    CHECK(node.state_of("b") == "none");
+    replica.release_departures(begin + 2 * hold_time, true);
+    CHECK(node.state_of("b") == "ready");
+}
--- a/libs/relay/tests/store_return_model_nodes.cpp
+++ b/libs/relay/tests/store_return_model_nodes.cpp
@@ -46,7 +46,7 @@
 {
     auto& self = at_node(n);
     update_availability(n);
-    self.replica->release_departures(now_);
+    self.replica->release_departures(now_, self.available);
     wake(n);
     const int other = (n + draw(1, scenario_.nodes - 1)) % scenario_.nodes;
     if (now_ >= self.next_pull) {
